--- /dev/null
+++ b/crates/cluster-messages/src/worker_facts.rs
@@ -0,0 +1,43 @@
+use crate::prelude::*;
+
+/// What a gateway learned from one worker since its last report: each line is a proof, and may be told twice.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[cbor(array)]
+pub struct WorkerFacts {
+    /// The worker.
+    #[n(0)]
+    pub worker: Name,
+    /// The boot that said so.
+    #[n(1)]
+    pub boot_id: String,
+    /// Started, or listed as running.
+    #[n(2)]
+    pub started: Vec<AttemptId>,
+    /// Ended.
+    #[n(3)]
+    pub ended: Vec<EndedAttempt>,
+    /// Answered void, or provably never sent.
+    #[n(4)]
+    pub voided: Vec<AttemptId>,
+    /// Told in the log as running on this boot, yet neither listed as running nor as ended by it.
+    #[n(5)]
+    pub missing: Vec<AttemptId>,
+    /// The worker asks to drain (true), or to be used again (false); absent: as before.
+    #[n(6)]
+    pub draining: Option<bool>,
+    /// Whether it answers; absent: as before.
+    #[n(7)]
+    pub reachable: Option<bool>,
+}
+
+impl WorkerFacts {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.started.is_empty()
+            && self.ended.is_empty()
+            && self.voided.is_empty()
+            && self.missing.is_empty()
+            && self.draining.is_none()
+            && self.reachable.is_none()
+    }
+}
--- /dev/null
+++ b/crates/cluster-messages/src/worker_orders.rs
@@ -0,0 +1,193 @@
+use crate::prelude::*;
+
+/// `POST http://{worker}/start`: start one attempt. Sent once at the most, ever.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
+pub struct StartOrder {
+    /// The attempt.
+    #[n(0)]
+    pub attempt: AttemptId,
+    /// Term of the scheduler that intended it; for the worker's log, nothing relies on its check.
+    #[n(1)]
+    pub term: u64,
+    /// The worker it is for.
+    #[n(2)]
+    pub worker: Name,
+    /// The job's name.
+    #[n(3)]
+    pub job_name: Name,
+    /// The service.
+    #[n(4)]
+    pub service: Name,
+    /// CPU it may use, in thousandths of a core.
+    #[n(5)]
+    pub cpu_millis: u64,
+    /// Memory it may use, in MB.
+    #[n(6)]
+    pub memory_mb: u64,
+    /// True for work that has no end of its own.
+    #[n(7)]
+    pub run_until_cancelled: bool,
+    /// What to run.
+    #[n(8)]
+    pub payload: Payload,
+    /// When it was intended, in cluster time.
+    #[n(9)]
+    pub intended_at_ms: Millis,
+    /// How long after that it may still leave the gateway.
+    #[n(10)]
+    pub time_budget_ms: Millis,
+}
+
+/// What a worker says to a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[serde(rename_all = "snake_case")]
+#[cbor(index_only)]
+pub enum StartResult {
+    /// It runs.
+    #[n(0)]
+    Started,
+    /// A stop for it came first: it never ran and never will.
+    #[n(1)]
+    Void,
+}
+
+/// The answer to a start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+pub struct StartAnswer {
+    /// The attempt.
+    #[n(0)]
+    pub attempt: AttemptId,
+    /// What came of it.
+    #[n(1)]
+    pub result: StartResult,
+    /// The boot that took the order.
+    #[n(2)]
+    pub boot_id: String,
+}
+
+/// `POST http://{worker}/stop`: end an attempt, or never start it. May be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+pub struct StopOrder {
+    /// The attempt.
+    #[n(0)]
+    pub attempt: AttemptId,
+    /// The worker it is for.
+    #[n(1)]
+    pub worker: Name,
+}
+
+/// What a worker says to a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[serde(rename_all = "snake_case")]
+#[cbor(index_only)]
+pub enum StopResult {
+    /// It ran and doesn't any more.
+    #[n(0)]
+    Stopped,
+    /// This boot never started it, and never will.
+    #[n(1)]
+    Void,
+    /// It had ended by itself; the hold answer lists how.
+    #[n(2)]
+    Ended,
+}
+
+/// The answer to a stop.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+pub struct StopAnswer {
+    /// The attempt.
+    #[n(0)]
+    pub attempt: AttemptId,
+    /// What came of it.
+    #[n(1)]
+    pub result: StopResult,
+    /// The boot that took the order.
+    #[n(2)]
+    pub boot_id: String,
+    /// With `ended`: how it ended.
+    #[n(3)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<EndedAttempt>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[serde(rename_all = "snake_case")]
+#[cbor(index_only)]
+pub enum Outcome {
+    /// Well.
+    #[n(0)]
+    Succeeded,
+    /// It failed.
+    #[n(1)]
+    Failed,
+    /// A stop ended it.
+    #[n(2)]
+    Stopped,
+}
+
+/// An attempt that ran and ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[cbor(array)]
+pub struct EndedAttempt {
+    /// The attempt.
+    #[n(0)]
+    pub attempt: AttemptId,
+    /// How it ended.
+    #[n(1)]
+    pub outcome: Outcome,
+    /// How long it ran, by the worker's own clock.
+    #[n(2)]
+    pub ran_ms: Millis,
+}
+
+/// `POST http://{worker}/hold`: the worker answers when its lists have changed since `seen`, or after `wait_ms`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+pub struct HoldOrder {
+    /// The worker it is for.
+    #[n(0)]
+    pub worker: Name,
+    /// The gateway that holds it.
+    #[n(1)]
+    pub gateway: Name,
+    /// The `change` of the last answer seen; 0 for a whole answer at once.
+    #[n(2)]
+    pub seen: u64,
+    /// How long the worker may keep this call when nothing changes.
+    #[n(3)]
+    pub wait_ms: Millis,
+    /// Ended attempts that are in the log: the worker may forget them.
+    #[n(4)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub acknowledged: Vec<AttemptId>,
+}
+
+/// The answer to a hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+pub struct HoldAnswer {
+    /// The worker.
+    #[n(0)]
+    pub worker: Name,
+    /// Its boot id.
+    #[n(1)]
+    pub boot_id: String,
+    /// Counts the changes of what follows, from 1; starts anew with each boot.
+    #[n(2)]
+    pub change: u64,
+    /// It wants to drain.
+    #[n(3)]
+    #[serde(default)]
+    pub draining: bool,
+    /// True when nothing changed since `seen`; the lists are then left out.
+    #[n(4)]
+    #[serde(default)]
+    pub unchanged: bool,
+    /// All that runs.
+    #[n(5)]
+    #[serde(default)]
+    pub running: Vec<AttemptId>,
+    /// All that ended and is not acknowledged.
+    #[n(6)]
+    #[serde(default)]
+    pub ended: Vec<EndedAttempt>,
+}
--- /dev/null
+++ b/crates/declared-settings/examples/settings_page.rs
@@ -0,0 +1,7 @@
+//! Prints the page of all declared settings.
+
+use declared_settings::prelude::*;
+
+fn main() {
+    print!("{}", settings_page());
+}
--- /dev/null
+++ b/crates/process-plumbing/src/prelude.rs
@@ -0,0 +1,53 @@
+//! Every name this crate's files use.
+
+pub use std::fmt;
+pub use std::future::Future;
+pub use std::net::{IpAddr, SocketAddr};
+pub use std::pin::Pin;
+pub use std::sync::Arc;
+pub use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+pub use std::task::{Context as TaskContext, Poll};
+pub use std::time::{Duration, Instant};
+
+pub use bytes::Bytes;
+pub use declared_settings::{DaemonSettings, DeclaredSettings, SettingFaults};
+pub use futures::{Sink, SinkExt, Stream, StreamExt};
+pub use getopts::Options;
+pub use http_body_util::{BodyExt, Limited};
+pub use hyper::body::{Body, Frame, SizeHint};
+pub use hyper::{Method, Request, StatusCode};
+pub use hyper_util::client::legacy::Client;
+pub use hyper_util::client::legacy::connect::HttpConnector;
+pub use hyper_util::rt::{TokioExecutor, TokioTimer};
+pub use metrics::{Counter, counter, gauge, histogram};
+pub use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+pub use snafu::{OptionExt, ResultExt, Snafu, ensure};
+pub use tokio::io::{AsyncReadExt, AsyncWriteExt};
+pub use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+pub use tokio::net::{TcpListener, TcpSocket, TcpStream};
+pub use tokio::runtime::{Builder as RuntimeBuilder, Runtime};
+pub use tokio::signal::unix::{SignalKind, signal};
+pub use tokio::sync::mpsc;
+pub use tokio::time::timeout;
+pub use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+pub use tokio_util::sync::CancellationToken;
+pub use tracing_subscriber::EnvFilter;
+pub use tracing_subscriber::filter::ParseError;
+pub use tracing_subscriber::util::SubscriberInitExt;
+
+pub use crate::channel::{Channel, ChannelSink, ChannelStream, MAX_FRAME, dial};
+pub use crate::channel_inbox::ChannelInbox;
+pub use crate::channel_listener::{ChannelListener, IncomingChannel, listen};
+pub use crate::clock::{Clock, Millis};
+pub use crate::daemon_runtime::{DEFAULT_WORKER_THREADS, daemon_runtime};
+pub use crate::guarded_body::GuardedBody;
+pub use crate::http_caller::HttpCaller;
+pub use crate::http_outcome::HttpOutcome;
+pub use crate::log_setup::{LogFormat, init_logs};
+pub use crate::metrics_page::MetricsPage;
+pub use crate::monotonic_clock::MonotonicClock;
+pub use crate::plumbing_error::*;
+pub use crate::process_statistics::ProcessStatistics;
+pub use crate::send_permit::SendPermit;
+pub use crate::settings_command::{SettingsCommand, SettingsError, settings_or_exit};
+pub use crate::shutdown::shutdown_signal;
--- /dev/null
+++ b/crates/replicated-log/src/prelude.rs
@@ -0,0 +1,53 @@
+//! The one module that every other file of this crate imports.
+
+pub use std::cmp::{max, min};
+pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub use std::convert::Infallible;
+pub use std::fmt::Debug;
+pub use std::hash::Hash;
+pub use std::path::Path;
+pub use std::sync::{Arc, LazyLock};
+
+pub use minicbor::{Decode, Encode};
+pub use rand::{RngCore, SeedableRng};
+pub use rand_chacha::ChaCha8Rng;
+pub use serde::Deserialize;
+pub use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+pub use crate::append::Append;
+pub use crate::append_ack::AppendAck;
+pub use crate::conflict_hint::ConflictHint;
+pub use crate::counters::Counters;
+pub use crate::effect::Effect;
+pub use crate::hard_state::HardState;
+pub use crate::ids::{ClusterId, Index, Millis, NodeId, Term, Ticket, Token};
+pub use crate::input::Input;
+pub use crate::log_entry::LogEntry;
+pub use crate::log_entry_body::LogEntryBody;
+pub use crate::log_settings::LogSettings;
+pub use crate::log_storage::LogStorage;
+pub use crate::log_tail::LogTail;
+pub use crate::member_address::MemberAddress;
+pub use crate::membership::Membership;
+pub use crate::membership_change::MembershipChange;
+pub use crate::membership_history::MembershipHistory;
+pub use crate::memory_log_storage::MemoryLogStorage;
+pub use crate::message::{Message, WIRE_VERSION};
+pub use crate::message_body::MessageBody;
+pub use crate::message_error::MessageError;
+pub use crate::outbox::{Gate, Outbox};
+pub use crate::persist_request::PersistRequest;
+pub use crate::progress::{Pace, Progress};
+pub use crate::propose_error::ProposeError;
+pub use crate::random_source::RandomSource;
+pub use crate::replica::Replica;
+pub use crate::restored_state::RestoredState;
+pub use crate::role::Role;
+pub use crate::role_chart::RoleChart;
+pub use crate::role_event::RoleEvent;
+pub use crate::sled_log_storage::SledLogStorage;
+pub use crate::snapshot::Snapshot;
+pub use crate::snapshot_chunk::{SnapshotAck, SnapshotChunk};
+pub use crate::snapshot_transfer::SnapshotTransfer;
+pub use crate::storage_error::StorageError;
+pub use crate::stored_record::{RECORD_VERSION, StoredRecord};
--- /dev/null
+++ b/crates/scheduler-core/src/cluster_rules.rs
@@ -0,0 +1,57 @@
+use crate::prelude::*;
+
+/// Bounds that the fold depends on. They are part of the replicated state, so that schedulers of two builds fold alike;
+/// all spans are ratios to `hold_interval_ms`.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct ClusterRules {
+    /// How often a worker is heard of at least.
+    #[n(0)]
+    pub hold_interval_ms: Millis,
+    /// How long after its intent a start may still leave its gateway.
+    #[n(1)]
+    pub order_time_budget_ms: Millis,
+    /// How long after its intent an unproven start is voided by a stop.
+    #[n(2)]
+    pub unproven_ms: Millis,
+    /// How long after their intent all members of a gang must run.
+    #[n(3)]
+    pub gang_time_budget_ms: Millis,
+    /// First shun; it doubles with each level.
+    #[n(4)]
+    pub shun_ms: Millis,
+    /// Finished jobs kept at most, whatever their retention.
+    #[n(5)]
+    pub finished_jobs_kept: u64,
+    /// Jobs kept at most that are not finished.
+    #[n(6)]
+    pub open_jobs: u64,
+    /// Operators' evacuation order ids remembered.
+    #[n(7)]
+    pub orders_remembered: u64,
+    /// Urgency from which work may use the reserve.
+    #[n(8)]
+    pub urgent_from: u8,
+}
+
+impl ClusterRules {
+    /// Rules as ratios to the hold interval.
+    ///
+    /// ```
+    /// let r = scheduler_core::ClusterRules::new(1_000);
+    /// assert!(r.unproven_ms > r.order_time_budget_ms);
+    /// ```
+    pub fn new(hold_interval_ms: Millis) -> Self {
+        let h = hold_interval_ms;
+        ClusterRules {
+            hold_interval_ms: h,
+            order_time_budget_ms: h,
+            unproven_ms: 2 * h,
+            gang_time_budget_ms: 8 * h,
+            shun_ms: 5 * h,
+            finished_jobs_kept: 20_000,
+            open_jobs: 100_000,
+            orders_remembered: 4_096,
+            urgent_from: 7,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -0,0 +1,251 @@
+use crate::prelude::*;
+
+/// The placement state: learned distributions under LAVA.
+pub type Bands = FleetBands<LearnedDistributions, PlacementStrategy>;
+
+/// Use of one queue in one zone: tasks out, and their room.
+pub type Use = (u64, Room);
+
+/// The folded state: tables, configuration, placement state, and indexes that are worked out from them.
+#[derive(Clone, Debug)]
+pub struct ClusterState {
+    /// What a snapshot holds.
+    pub tables: Tables,
+    /// The operators' tree with its past.
+    pub configuration: ConfigurationHistory,
+    /// The tree's values in force.
+    pub effective: Arc<EffectiveTree>,
+    /// Lifetime bands and the predictor.
+    pub bands: Bands,
+    /// Steps with tasks to start.
+    pub ready: ReadyIndex,
+    /// Jobs by name.
+    pub names: BTreeMap<Name, JobNumber>,
+    /// Workers by name.
+    pub worker_names: BTreeMap<Name, WorkerIndex>,
+    /// Tasks out at each worker.
+    pub on_worker: BTreeMap<WorkerIndex, BTreeSet<TaskId>>,
+    /// Use by (zone, queue).
+    pub queue_use: BTreeMap<(Name, Name), Use>,
+    /// Room and use by zone.
+    pub zone_room: BTreeMap<Name, (Room, Room)>,
+    /// Open jobs by queue.
+    pub open_jobs: BTreeMap<Name, u64>,
+    /// The zones of each queue.
+    pub queue_zones: BTreeMap<Name, Vec<Name>>,
+    /// Timed jobs by their time.
+    pub timed: BTreeSet<(Millis, JobNumber)>,
+    /// Unproven starts by the time they are to be voided.
+    pub unproven: BTreeSet<(Millis, TaskId)>,
+    /// Gangs that are out, by the time they must run whole.
+    pub gangs: BTreeSet<(Millis, JobNumber, u16)>,
+    /// Finished jobs by the time they are forgotten.
+    pub finished: BTreeSet<(Millis, JobNumber)>,
+}
+
+/// A snapshot that can't be used.
+#[derive(Debug, Snafu)]
+pub enum StateError {
+    /// Not decodable.
+    #[snafu(display("snapshot can't be decoded: {source}"))]
+    Decoding { source: minicbor::decode::Error },
+    /// Its placement part can't be used.
+    #[snafu(display("placement state: {source}"))]
+    Placement { source: PlacementError },
+    /// Its configuration can't be used.
+    #[snafu(display("configuration: {source}"))]
+    Configuration { source: SnapshotError },
+    /// Another version of the format.
+    #[snafu(display("snapshot version {found}, {SNAPSHOT_VERSION} wanted"))]
+    Version { found: u8 },
+}
+
+/// Version of a snapshot's bytes.
+pub const SNAPSHOT_VERSION: u8 = 1;
+
+impl ClusterState {
+    /// An empty cluster.
+    pub fn new(rules: ClusterRules) -> Result<Self, StateError> {
+        let ps = PlacementSettings::default();
+        let bands = FleetBands::new(ps.clone(), LearnedDistributions::new(&ps), PlacementStrategy::Lava).context(PlacementSnafu)?;
+        Ok(Self::of(Tables::new(rules), ConfigurationHistory::default(), bands))
+    }
+
+    /// Works out the indexes.
+    fn of(tables: Tables, configuration: ConfigurationHistory, bands: Bands) -> Self {
+        let mut s = ClusterState {
+            tables,
+            effective: Arc::default(),
+            configuration,
+            bands,
+            ready: ReadyIndex::default(),
+            names: BTreeMap::new(),
+            worker_names: BTreeMap::new(),
+            on_worker: BTreeMap::new(),
+            queue_use: BTreeMap::new(),
+            zone_room: BTreeMap::new(),
+            open_jobs: BTreeMap::new(),
+            queue_zones: BTreeMap::new(),
+            timed: BTreeSet::new(),
+            unproven: BTreeSet::new(),
+            gangs: BTreeSet::new(),
+            finished: BTreeSet::new(),
+        };
+        s.refresh_effective();
+        s.index();
+        s
+    }
+
+    /// Encodes a snapshot.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut v = vec![SNAPSHOT_VERSION];
+        let parts = (&self.tables, minicbor::bytes::ByteVec::from(self.configuration.encode()), minicbor::bytes::ByteVec::from(self.bands.encode()));
+        // Writing into a Vec can't fail.
+        let _ = minicbor::encode(parts, &mut v);
+        v
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// ```
+    /// use scheduler_core::{ClusterRules, ClusterState};
+    /// let s = ClusterState::new(ClusterRules::new(1_000)).unwrap();
+    /// let back = ClusterState::from_bytes(&s.to_bytes()).unwrap();
+    /// assert_eq!(back.digest(), s.digest());
+    /// assert!(ClusterState::from_bytes(&[9]).is_err());
+    /// ```
+    pub fn from_bytes(b: &[u8]) -> Result<Self, StateError> {
+        let (&found, rest) = b.split_first().unwrap_or((&0, &[]));
+        ensure!(found == SNAPSHOT_VERSION, VersionSnafu { found });
+        let (tables, c, p): (Tables, minicbor::bytes::ByteVec, minicbor::bytes::ByteVec) =
+            minicbor::decode(rest).context(DecodingSnafu)?;
+        let configuration = ConfigurationHistory::decode(&c, ConfigurationSettings::default()).context(ConfigurationSnafu)?;
+        let bands = FleetBands::decode(PlacementSettings::default(), PlacementStrategy::Lava, &p).context(PlacementSnafu)?;
+        Ok(Self::of(tables, configuration, bands))
+    }
+
+    /// Digest of the whole state: equal on two schedulers that folded the same entries.
+    pub fn digest(&self) -> String {
+        let mut s = String::new();
+        for b in Sha256::digest(self.to_bytes()) {
+            // Writing into a String can't fail.
+            let _ = fmt::Write::write_fmt(&mut s, format_args!("{b:02x}"));
+        }
+        s
+    }
+
+    /// A job by name.
+    pub fn job(&self, name: &str) -> Option<&Job> {
+        self.tables.jobs.get(self.names.get(name)?)
+    }
+
+    /// A worker by name.
+    pub fn worker(&self, name: &str) -> Option<(WorkerIndex, &WorkerRecord)> {
+        let i = *self.worker_names.get(name)?;
+        Some((i, self.tables.workers.get(&i)?))
+    }
+
+    /// The settings in force for a queue in a zone. A tree without any queue allows every queue everywhere.
+    pub fn queue_settings(&self, zone: &str, queue: &str) -> Option<Arc<EffectiveQueue>> {
+        if self.queue_zones.is_empty() {
+            return Some(self.effective.zone(zone).map(|z| z.inherited.clone()).unwrap_or_default());
+        }
+        self.effective.get(zone, queue).cloned()
+    }
+
+    /// The strongest urgency, the most waiting jobs and the longest retention of a queue over its zones;
+    /// `None` when no zone has it (enabled).
+    pub fn queue_bounds(&self, queue: &str) -> Option<(u8, u64, Millis, u64)> {
+        let fold = |z: &Name| self.queue_settings(z, queue).filter(|q| q.settings.enabled);
+        let all: Vec<Arc<EffectiveQueue>> = match self.queue_zones.is_empty() {
+            true => vec![Arc::default()],
+            false => self.queue_zones.get(queue)?.iter().filter_map(fold).collect(),
+        };
+        let most = |f: fn(&QueueSettings) -> u64| all.iter().map(|q| f(&q.settings)).max();
+        Some((most(|s| s.urgency)? as u8, most(|s| s.max_waiting_jobs)?, most(|s| s.retention_s)? * 1_000, most(|s| s.allowed_failures_max)?))
+    }
+
+    /// The urgency in force of a job of a queue: what its caller asked for, up to its queue's.
+    pub fn urgency(&self, queue: &str, asked: Option<u8>) -> u8 {
+        let most = self.queue_bounds(queue).map_or(0, |b| b.0);
+        asked.map_or(most, |a| a.min(most))
+    }
+
+    /// Reads the tree's values again.
+    pub fn refresh_effective(&mut self) {
+        self.effective = Arc::new(EffectiveTree::new(self.configuration.tree()));
+        self.queue_zones.clear();
+        for ((z, q), _) in self.effective.iter() {
+            self.queue_zones.entry(q.to_owned()).or_default().push(z.to_owned());
+        }
+    }
+
+    /// What the predictor and the ranking read of a task.
+    pub fn task_to_place(&self, spec: &JobSpec, step: u16, key: u64) -> TaskToPlace {
+        let st = &spec.steps[step as usize];
+        let labels = spec.labels.iter().flat_map(|(k, v)| [k.as_str(), v.as_str()]);
+        let kind = TaskFeatures::digest([spec.service.as_str(), st.name.as_str()].into_iter().chain(labels));
+        let room = Room::new(st.cpu_millis, st.memory_mb);
+        TaskToPlace::new(key, TaskFeatures::digest([spec.queue.as_str()]), kind, room, spec.run_until_cancelled)
+    }
+
+    /// Whether placement finds a step, and where.
+    pub(crate) fn refresh_ready(&mut self, job: JobNumber, step: u16) {
+        let Some(j) = self.tables.jobs.get(&job) else { return };
+        let Some(spec) = j.spec.as_deref() else { return };
+        let (Some(s), Some(st)) = (j.steps.get(step as usize), spec.steps.get(step as usize)) else { return };
+        let open = j.due && j.ending.is_none() && s.waits_for == 0;
+        let ready = open && s.waiting_count() > 0 && (!st.gang || s.live == 0);
+        let group = ReadyGroup {
+            queue: spec.queue.clone(),
+            asked: spec.urgency,
+            service: spec.service.clone(),
+            kinds: st.kinds.clone(),
+            room: Room::new(st.cpu_millis, st.memory_mb),
+            gang: if st.gang { st.tasks } else { 0 },
+        };
+        self.ready.set(group, (j.due_at, job, step), ready);
+    }
+
+    /// Works out all indexes from the tables.
+    fn index(&mut self) {
+        for (i, w) in &self.tables.workers {
+            self.worker_names.insert(w.told.name.clone(), *i);
+            self.on_worker.entry(*i).or_default();
+            let z = self.zone_room.entry(w.told.zone.clone()).or_default();
+            z.0 = z.0.add(w.room());
+            z.1 = z.1.add(w.used);
+        }
+        for (t, a) in &self.tables.attempts {
+            self.on_worker.entry(a.worker).or_default().insert(*t);
+            if a.started.is_none() && a.stop.is_none() {
+                self.unproven.insert((a.intended_at + self.tables.rules.unproven_ms, *t));
+            }
+            if let (Some(j), Some(w)) = (self.tables.jobs.get(&t.job), self.tables.workers.get(&a.worker)) {
+                let u = self.queue_use.entry((w.told.zone.clone(), j.summary.queue.clone())).or_default();
+                *u = (u.0 + 1, u.1.add(a.room));
+            }
+        }
+        let mut steps = Vec::new();
+        for j in self.tables.jobs.values() {
+            self.names.insert(j.summary.name.clone(), j.number);
+            if !j.summary.state.is_final() {
+                *self.open_jobs.entry(j.summary.queue.clone()).or_default() += 1;
+            }
+            if !j.due && j.ending.is_none() {
+                self.timed.insert((j.due_at, j.number));
+            }
+            for (i, s) in j.steps.iter().enumerate() {
+                steps.push((j.number, i as u16));
+                if let Some(by) = s.gang_by {
+                    self.gangs.insert((by, j.number, i as u16));
+                }
+            }
+        }
+        for (j, s) in steps {
+            self.refresh_ready(j, s);
+        }
+        let over = self.tables.jobs.values().filter(|j| j.is_over()).map(|j| (j.forget_at, j.number));
+        self.finished.extend(over);
+    }
+}
--- /dev/null
+++ b/crates/scheduler-core/src/command.rs
@@ -0,0 +1,111 @@
+use crate::prelude::*;
+
+/// One wish put in the log. Applying it checks everything again: a command that no longer fits changes nothing.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Command {
+    /// A caller's job, with the delay until its time as the leader worked it out.
+    #[n(0)]
+    Submit {
+        /// The job.
+        #[n(0)]
+        spec: JobSpec,
+        /// Not before this long after the entry's time.
+        #[n(1)]
+        due_in_ms: Millis,
+    },
+    /// A caller's cancellation.
+    #[n(1)]
+    Cancel(#[n(0)] CancelJob),
+    /// A worker told of itself.
+    #[n(2)]
+    Register(#[n(0)] RegisterWorker),
+    /// A drain, or its end.
+    #[n(3)]
+    Drain(#[n(0)] DrainWorker),
+    /// A worker is to be forgotten.
+    #[n(4)]
+    Remove(#[n(0)] RemoveWorker),
+    /// A zone evacuation, or its end.
+    #[n(5)]
+    Evacuate(#[n(0)] EvacuateZone),
+    /// A whole tree of settings.
+    #[n(6)]
+    PutConfiguration {
+        /// The version it was built on.
+        #[n(0)]
+        base_version: u64,
+        /// Its id.
+        #[n(1)]
+        change_id: String,
+        /// Its JSON.
+        #[n(2)]
+        #[cbor(with = "minicbor::bytes")]
+        tree: Vec<u8>,
+    },
+    /// A gateway attached.
+    #[n(7)]
+    GatewayAttached {
+        /// Its name.
+        #[n(0)]
+        name: Name,
+        /// Its instance.
+        #[n(1)]
+        instance: u64,
+        /// Its zone.
+        #[n(2)]
+        zone: Name,
+        /// Where callers reach it.
+        #[n(3)]
+        http_address: String,
+    },
+    /// A gateway fell silent.
+    #[n(8)]
+    GatewayLost {
+        /// Its name.
+        #[n(0)]
+        name: Name,
+        /// Its instance.
+        #[n(1)]
+        instance: u64,
+    },
+    /// What a gateway learned from a worker.
+    #[n(9)]
+    Facts(#[n(0)] WorkerFacts),
+    /// Starts that placement worked out: (task, worker).
+    #[n(10)]
+    Start {
+        /// Which task where.
+        #[n(0)]
+        starts: Vec<(TaskId, WorkerIndex)>,
+        /// All or none.
+        #[n(1)]
+        gang: bool,
+    },
+    /// Cluster wall clock: Unix milliseconds at cluster time 0.
+    #[n(11)]
+    AnchorClock {
+        /// It moves forward only.
+        #[n(0)]
+        unix_at_zero_ms: u64,
+    },
+    /// Nothing but the passing of time.
+    #[n(12)]
+    Advance,
+}
+
+/// The commands of one log entry.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(array)]
+pub struct CommandBatch {
+    /// The scheduler that proposed it.
+    #[n(0)]
+    pub proposer: u64,
+    /// Its count of proposals in this term.
+    #[n(1)]
+    pub number: u64,
+    /// In order.
+    #[n(2)]
+    pub commands: Vec<Command>,
+}
+
+impl WireMessage for CommandBatch {}
--- /dev/null
+++ b/crates/scheduler-core/src/event.rs
@@ -0,0 +1,56 @@
+use crate::prelude::*;
+
+/// What a command brought about. Events are appended to the journal; all views are folded from them.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A job is accepted.
+    JobAccepted { spec: Arc<JobSpec>, digest: u64, at: Millis, due_at: Millis, urgency: u8 },
+    /// A job's time has come.
+    JobDue { job: JobNumber },
+    /// A job begins to end.
+    JobEnding { job: JobNumber, state: JobState, at: Millis },
+    /// Nothing of a job is out any more.
+    JobOver { job: JobNumber, state: JobState, at: Millis },
+    /// A job is past its retention.
+    JobForgotten { job: JobNumber },
+    /// An attempt is intended.
+    AttemptIntended { task: TaskId, worker: WorkerIndex, at: Millis, term: u64 },
+    /// An attempt's start is proven.
+    AttemptStarted { task: TaskId, boot_id: String, at: Millis },
+    /// An attempt is to be stopped.
+    StopWanted { task: TaskId, reason: StopReason },
+    /// An attempt is over.
+    AttemptOver { task: TaskId, how: TaskEvent, at: Millis },
+    /// A step's last task ended well.
+    StepDone { job: JobNumber, step: u16 },
+    /// A gang is out and must run whole by then.
+    GangOut { job: JobNumber, step: u16, by: Millis },
+    /// A gang runs whole, or is no longer waited for.
+    GangSettled { job: JobNumber, step: u16 },
+    /// A worker is known, or told of itself anew.
+    WorkerKnown { worker: WorkerIndex, told: RegisterWorker },
+    /// A worker came back with another boot.
+    WorkerReborn { worker: WorkerIndex, boot_id: String },
+    /// A worker's drain changed: as ordered, as asked by itself.
+    WorkerDraining { worker: WorkerIndex, ordered: bool, asked: bool },
+    /// A worker answers its gateway, or doesn't.
+    WorkerReachable { worker: WorkerIndex, reachable: bool },
+    /// A worker is held by another gateway, or by none.
+    WorkerShared { worker: WorkerIndex, gateway: Option<Name> },
+    /// An attempt that the log doesn't know runs on a worker.
+    OrphanSeen { worker: WorkerIndex, attempt: AttemptId },
+    /// ... and doesn't any more.
+    OrphanGone { worker: WorkerIndex, attempt: AttemptId },
+    /// A worker is forgotten.
+    WorkerGone { worker: WorkerIndex, name: Name },
+    /// A gateway came or came back.
+    GatewayAttached { name: Name, record: GatewayRecord },
+    /// A gateway fell silent.
+    GatewayLost { name: Name },
+    /// Another configuration is in force.
+    ConfigurationChanged { version: u64, at: Millis },
+    /// A zone is evacuated, or used again.
+    ZoneEvacuated { zone: Name, on: bool, order_id: String, at: Millis },
+    /// The cluster wall clock moved.
+    ClockAnchored { unix_at_zero_ms: u64 },
+}
--- /dev/null
+++ b/crates/scheduler-core/src/explain.rs
@@ -0,0 +1,82 @@
+use crate::prelude::*;
+
+impl ClusterState {
+    /// What a job waits for, in plain words.
+    pub fn explain(&self, name: &str) -> CallResult<JobExplanation> {
+        let j = self.job(name).ok_or_else(|| call_error::not_found("job", name))?;
+        let mut reasons = Vec::new();
+        let now = self.tables.log_time;
+        let t = j.summary.tasks;
+        match (j.spec.as_deref(), j.ending) {
+            (None, _) => reasons.push(format!("it is over: {}", j.summary.state.word())),
+            (_, Some(s)) => reasons.push(format!("it ends as {}: {} tasks are still being stopped", s.word(), j.live())),
+            (Some(_), None) if !j.due => {
+                reasons.push(format!("its time comes in {:.1} s", j.due_at.saturating_sub(now) as f64 / 1e3));
+            }
+            (Some(spec), None) => {
+                if t.running + t.starting > 0 {
+                    reasons.push(format!("{} of its tasks run, {} are starting", t.running, t.starting));
+                }
+                for (i, (s, st)) in j.steps.iter().zip(&spec.steps).enumerate() {
+                    if s.waits_for > 0 {
+                        reasons.push(format!("step {} waits for {}", st.name, st.after.join(", ")));
+                    } else if s.waiting_count() > 0 {
+                        reasons.push(format!("step {}: {} tasks wait: {}", st.name, s.waiting_count(), self.why_step(j, spec, i as u16)));
+                    }
+                }
+            }
+        }
+        Ok(JobExplanation { name: name.to_owned(), state: j.summary.state, reasons })
+    }
+
+    /// Why tasks of an open step wait.
+    fn why_step(&self, j: &Job, spec: &JobSpec, step: u16) -> String {
+        let st = &spec.steps[step as usize];
+        let s = &j.steps[step as usize];
+        if st.gang && s.live > 0 {
+            return "its gang is being brought back together".into();
+        }
+        let room = Room::new(st.cpu_millis, st.memory_mb);
+        let mut why: BTreeMap<&str, u32> = BTreeMap::new();
+        for (i, w) in &self.tables.workers {
+            let kind = st.kinds.is_empty() || st.kinds.contains(&w.told.kind);
+            let settings = self.queue_settings(&w.told.zone, &spec.queue);
+            let live = self.on_worker.get(i).map_or(0, BTreeSet::len);
+            let reason = if w.told.service != spec.service {
+                "serve another service"
+            } else if !kind {
+                "are of a kind that the step doesn't name"
+            } else if settings.is_none() {
+                "are in a zone where the queue isn't"
+            } else if settings.is_some_and(|q| !q.settings.kinds.is_empty() && !q.settings.kinds.contains(&w.told.kind)) {
+                "are of a kind that the queue may not use"
+            } else if !room.fits(w.room()) {
+                "are too small even when empty"
+            } else if self.tables.evacuated.contains(&w.told.zone) {
+                "are in an evacuated zone"
+            } else if w.draining() {
+                "are draining"
+            } else if !w.reachable || w.gateway.is_none() {
+                "can't be reached"
+            } else if !w.health.may_try(self.tables.log_time, live) {
+                "are shunned for what they did with other tasks"
+            } else if !room.fits(w.room().sub(w.used)) {
+                "have no room now"
+            } else {
+                "could take it"
+            };
+            *why.entry(reason).or_default() += 1;
+        }
+        if self.tables.workers.is_empty() {
+            return "no worker is known".into();
+        }
+        let mut parts: Vec<String> = why.iter().map(|(r, n)| format!("{n} workers {r}")).collect();
+        if why.contains_key("could take it") {
+            parts.push(match st.gang {
+                true => "its members must start together, or it waits for its queue's share, cap or the urgent reserve".into(),
+                false => "it waits for its turn, its queue's cap or the urgent reserve".into(),
+            });
+        }
+        parts.join("; ")
+    }
+}
--- /dev/null
+++ b/crates/scheduler-core/src/gateway_session.rs
@@ -0,0 +1,47 @@
+use crate::prelude::*;
+
+/// A gateway's channel to the elected scheduler.
+#[derive(Clone, Debug)]
+pub struct GatewaySession {
+    /// Its name.
+    pub name: Name,
+    /// Its record in the log.
+    pub record: GatewayRecord,
+    /// View number it has been sent.
+    pub view: u64,
+    /// Configuration version it has been sent.
+    pub configuration: u64,
+    /// When it was last heard.
+    pub heard_at: Millis,
+    /// When it was last sent news.
+    pub flushed_at: Millis,
+    /// Reports not yet in the log: number by batch.
+    pub reports: VecDeque<(u64, u64)>,
+    /// The newest report in an inbox or in the log.
+    pub reported: u64,
+}
+
+impl GatewaySession {
+    /// Whether some news can't wait for the next flush.
+    pub fn is_urgent(&self, state: &ClusterState, events: impl Iterator<Item = impl Borrow<Event>>) -> bool {
+        let t = &state.tables;
+        let mine = |w: &WorkerIndex| t.workers.get(w).is_some_and(|w| w.gateway.as_ref() == Some(&self.name));
+        for e in events {
+            let urgent = match e.borrow() {
+                Event::AttemptIntended { worker, .. } => mine(worker),
+                Event::StopWanted { task, .. } => t.attempts.get(task).is_some_and(|a| mine(&a.worker)),
+                Event::WorkerKnown { worker, .. }
+                | Event::WorkerReborn { worker, .. }
+                | Event::WorkerShared { worker, .. }
+                | Event::WorkerDraining { worker, .. }
+                | Event::OrphanSeen { worker, .. } => mine(worker),
+                Event::ConfigurationChanged { .. } | Event::ZoneEvacuated { .. } => true,
+                _ => false,
+            };
+            if urgent {
+                return true;
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/scheduler-core/src/job.rs
@@ -0,0 +1,148 @@
+use crate::prelude::*;
+
+/// A task's record.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+#[cbor(array)]
+pub struct Task {
+    /// Where it stands.
+    #[n(0)]
+    pub state: TaskState,
+    /// Attempts so far.
+    #[n(1)]
+    pub attempts: u16,
+    /// Failed attempts so far.
+    #[n(2)]
+    pub failures: u32,
+    /// The worker that last failed it: others go first.
+    #[n(3)]
+    pub avoid: Option<WorkerIndex>,
+}
+
+impl Task {
+    /// A task that nothing has happened to.
+    pub fn new() -> Self {
+        Task { state: task_chart().initial(), attempts: 0, failures: 0, avoid: None }
+    }
+}
+
+impl Default for Task {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A step's record.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(array)]
+pub struct Step {
+    /// Steps it still waits for.
+    #[n(0)]
+    pub waits_for: u32,
+    /// Its tasks; empty until it opens, and again once it is over.
+    #[n(1)]
+    pub tasks: Vec<Task>,
+    /// Tasks that were never tried start here.
+    #[n(2)]
+    pub fresh: u32,
+    /// Tasks to be tried again.
+    #[n(3)]
+    pub again: BTreeSet<u32>,
+    /// Tasks out at workers.
+    #[n(4)]
+    pub live: u32,
+    /// Tasks that ended well.
+    #[n(5)]
+    pub succeeded: u32,
+    /// When a gang that is out must run whole, in cluster time.
+    #[n(6)]
+    pub gang_by: Option<Millis>,
+}
+
+impl Step {
+    /// A step of so many tasks that waits for so many others.
+    pub fn new(waits_for: u32) -> Self {
+        Step { waits_for, tasks: Vec::new(), fresh: 0, again: BTreeSet::new(), live: 0, succeeded: 0, gang_by: None }
+    }
+
+    /// Tasks that could start now, the next one first.
+    pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
+        self.again.iter().copied().chain(self.fresh..self.tasks.len() as u32)
+    }
+
+    /// How many could start now.
+    pub fn waiting_count(&self) -> u32 {
+        self.again.len() as u32 + (self.tasks.len() as u32 - self.fresh)
+    }
+}
+
+/// A job's record.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(array)]
+pub struct Job {
+    /// Its number.
+    #[n(0)]
+    pub number: JobNumber,
+    /// What its caller stated; dropped once nothing of it is out.
+    #[n(1)]
+    pub spec: Option<Box<JobSpec>>,
+    /// Digest of what its caller stated, to tell a resend from a conflict.
+    #[n(2)]
+    pub digest: u64,
+    /// The list form, kept up to date.
+    #[n(3)]
+    pub summary: JobSummary,
+    /// Not before this cluster time.
+    #[n(4)]
+    pub due_at: Millis,
+    /// Whether its time has come.
+    #[n(5)]
+    pub due: bool,
+    /// Set once it is ending: the state it ends in.
+    #[n(6)]
+    pub ending: Option<JobState>,
+    /// Its steps; empty once it is over.
+    #[n(7)]
+    pub steps: Vec<Step>,
+    /// Once it is over: when it is forgotten, in cluster time. Kept, so that it is the same on every scheduler.
+    #[n(8)]
+    pub forget_at: Millis,
+}
+
+impl Job {
+    /// Whether nothing of it is out and nothing will be.
+    pub fn is_over(&self) -> bool {
+        self.summary.state.is_final() && self.spec.is_none()
+    }
+
+    /// Tasks out at workers.
+    pub fn live(&self) -> u32 {
+        self.summary.tasks.starting + self.summary.tasks.running
+    }
+
+    /// Counts a task from one state to another.
+    pub fn count(&mut self, from: TaskState, to: TaskState) {
+        let c = &mut self.summary.tasks;
+        let mut slot = |s: TaskState, by: i32| {
+            let n = match s {
+                TaskState::Waiting => &mut c.waiting,
+                TaskState::Starting => &mut c.starting,
+                TaskState::Running => &mut c.running,
+                TaskState::Succeeded => &mut c.succeeded,
+                TaskState::Failed => &mut c.failed,
+                TaskState::Cancelled => &mut c.cancelled,
+            };
+            *n = n.saturating_add_signed(by);
+        };
+        slot(from, -1);
+        slot(to, 1);
+    }
+}
+
+/// Digest of a job as stated.
+pub fn job_digest(spec: &JobSpec) -> u64 {
+    let mut v = Vec::new();
+    // Writing into a Vec can't fail.
+    let _ = minicbor::encode(spec, &mut v);
+    let d = Sha256::digest(&v);
+    u64::from_be_bytes([d[0], d[1], d[2], d[3], d[4], d[5], d[6], d[7]])
+}
--- /dev/null
+++ b/crates/scheduler-core/src/ledger.rs
@@ -0,0 +1,244 @@
+use crate::prelude::*;
+
+/// What a command is answered with, where somebody waits for an answer.
+pub type Answer = Option<CallResult<AnswerBody>>;
+
+/// State and journal together: commands of committed entries are applied here, on every scheduler alike.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    /// The folded state.
+    pub state: ClusterState,
+    /// The newest events.
+    pub journal: Journal,
+}
+
+/// Events kept in memory, as a ratio to the finished jobs kept.
+const JOURNAL_RATIO: u64 = 2;
+
+impl Ledger {
+    /// A ledger over a state, with an empty journal.
+    pub fn new(state: ClusterState) -> Self {
+        let most = state.tables.rules.finished_jobs_kept / JOURNAL_RATIO;
+        let journal = Journal::new(state.tables.next_event, most as usize);
+        Ledger { state, journal }
+    }
+
+    /// Folds an event and appends it to the journal.
+    pub(crate) fn emit(&mut self, e: Event) {
+        self.state.fold(&e);
+        self.journal.append(e);
+    }
+
+    /// Applies one committed entry: first what the passing of time brings, then each command in order.
+    ///
+    /// ```
+    /// use scheduler_core::{ClusterRules, ClusterState, Command, CommandBatch, Ledger};
+    /// use cluster_messages::{AnswerBody, JobSpec};
+    /// let mut l = Ledger::new(ClusterState::new(ClusterRules::new(1_000)).unwrap());
+    /// let spec = JobSpec::single("hold-7", "table-holds", "booking", 2, 500, 256);
+    /// let submit = Command::Submit { spec, due_in_ms: 0 };
+    /// let batch = CommandBatch { proposer: 1, number: 1, commands: vec![submit.clone(), submit] };
+    /// let answers = l.apply(1, 10, batch);
+    /// assert!(matches!(&answers[0], Some(Ok(AnswerBody::SubmitJob(a))) if !a.already));
+    /// assert!(matches!(&answers[1], Some(Ok(AnswerBody::SubmitJob(a))) if a.already));
+    /// ```
+    pub fn apply(&mut self, term: u64, log_time: Millis, batch: CommandBatch) -> Vec<Answer> {
+        self.advance(log_time);
+        batch.commands.into_iter().map(|c| self.command(term, c)).collect()
+    }
+
+    /// Cluster time of the last entry.
+    pub(crate) fn now(&self) -> Millis {
+        self.state.tables.log_time
+    }
+
+    fn command(&mut self, term: u64, c: Command) -> Answer {
+        match c {
+            Command::Submit { spec, due_in_ms } => Some(self.submit(spec, due_in_ms).map(AnswerBody::SubmitJob)),
+            Command::Cancel(c) => Some(self.cancel(&c.name).map(AnswerBody::CancelJob)),
+            Command::Register(r) => Some(self.register(r).map(AnswerBody::RegisterWorker)),
+            Command::Drain(d) => Some(self.drain(&d).map(AnswerBody::DrainWorker)),
+            Command::Remove(r) => Some(self.remove(&r).map(AnswerBody::RemoveWorker)),
+            Command::Evacuate(e) => Some(self.evacuate(e).map(AnswerBody::EvacuateZone)),
+            Command::PutConfiguration { base_version, change_id, tree } => {
+                Some(self.put_configuration(base_version, &change_id, &tree).map(AnswerBody::PutConfiguration))
+            }
+            Command::GatewayAttached { name, instance, zone, http_address } => {
+                self.gateway_attached(name, GatewayRecord { instance, zone, http_address, alive: true });
+                None
+            }
+            Command::GatewayLost { name, instance } => {
+                if self.state.tables.gateways.get(&name).is_some_and(|g| g.alive && g.instance == instance) {
+                    self.emit(Event::GatewayLost { name });
+                    self.share_workers();
+                }
+                None
+            }
+            Command::Facts(f) => {
+                self.facts(&f);
+                None
+            }
+            Command::Start { starts, gang } => {
+                self.start(term, &starts, gang);
+                None
+            }
+            Command::AnchorClock { unix_at_zero_ms } => {
+                if self.state.tables.unix_at_zero_ms.is_none_or(|u| u < unix_at_zero_ms) {
+                    self.emit(Event::ClockAnchored { unix_at_zero_ms });
+                }
+                None
+            }
+            Command::Advance => None,
+        }
+    }
+
+    /// Whether the passing of time alone would change something by then.
+    pub fn has_due(&self, log_time: Millis) -> bool {
+        let s = &self.state;
+        let over = s.finished.len() as u64 > s.tables.rules.finished_jobs_kept;
+        over || s.timed.first().is_some_and(|d| d.0 <= log_time)
+            || s.unproven.first().is_some_and(|d| d.0 <= log_time)
+            || s.gangs.first().is_some_and(|d| d.0 <= log_time)
+            || s.finished.first().is_some_and(|d| d.0 <= log_time)
+    }
+
+    /// What the passing of time brings.
+    fn advance(&mut self, log_time: Millis) {
+        self.state.tables.log_time = self.state.tables.log_time.max(log_time);
+        let now = self.now();
+        while let Some(&(_, job)) = self.state.timed.first().filter(|d| d.0 <= now) {
+            self.emit(Event::JobDue { job });
+        }
+        while let Some(&(_, task)) = self.state.unproven.first().filter(|d| d.0 <= now) {
+            self.stop(task, StopReason::Unproven);
+        }
+        while let Some(&(_, job, step)) = self.state.gangs.first().filter(|d| d.0 <= now) {
+            self.emit(Event::GangSettled { job, step });
+            self.break_gang(job, step);
+        }
+        let most = self.state.tables.rules.finished_jobs_kept as usize;
+        while let Some(&(at, job)) = self.state.finished.first() {
+            if at > now && self.state.finished.len() <= most {
+                break;
+            }
+            self.state.finished.remove(&(at, job));
+            self.emit(Event::JobForgotten { job });
+        }
+    }
+
+    /// Wants an attempt stopped, once.
+    pub(crate) fn stop(&mut self, task: TaskId, reason: StopReason) {
+        if self.state.tables.attempts.get(&task).is_some_and(|a| a.stop.is_none()) {
+            self.emit(Event::StopWanted { task, reason });
+        }
+    }
+
+    /// Starts that placement worked out: each is checked again against the state as it is now.
+    fn start(&mut self, term: u64, starts: &[(TaskId, WorkerIndex)], gang: bool) {
+        let at = self.now();
+        let mut asked: BTreeMap<WorkerIndex, Room> = BTreeMap::new();
+        let mut good = Vec::new();
+        for &(task, worker) in starts {
+            let Some(room) = self.may_start(task, worker) else { continue };
+            let sum = asked.entry(worker).or_default();
+            let free = &self.state.tables.workers[&worker];
+            if sum.add(room).fits(free.room().sub(free.used)) {
+                *sum = sum.add(room);
+                good.push((task, worker));
+            }
+        }
+        if gang {
+            let Some(&(t, _)) = good.first() else { return };
+            let s = &self.state.tables.jobs[&t.job].steps[t.step as usize];
+            if good.len() != starts.len() || s.live > 0 || s.waiting_count() as usize != starts.len() {
+                return;
+            }
+            let by = at + self.state.tables.rules.gang_time_budget_ms;
+            self.emit(Event::GangOut { job: t.job, step: t.step, by });
+        }
+        for (task, worker) in good {
+            self.emit(Event::AttemptIntended { task, worker, at, term });
+        }
+    }
+
+    /// The room of a task that may start on a worker now, all rules considered but its room.
+    fn may_start(&self, task: TaskId, worker: WorkerIndex) -> Option<Room> {
+        let s = &self.state;
+        let j = s.tables.jobs.get(&task.job).filter(|j| j.due && j.ending.is_none())?;
+        let step = j.steps.get(task.step as usize).filter(|st| st.waits_for == 0)?;
+        step.tasks.get(task.index as usize).filter(|t| t.state == TaskState::Waiting)?;
+        let spec = j.spec.as_deref()?;
+        let w = s.tables.workers.get(&worker)?;
+        let st = &spec.steps[task.step as usize];
+        s.worker_allows(w, &spec.queue, &spec.service, &st.kinds).then(|| Room::new(st.cpu_millis, st.memory_mb))
+    }
+
+    /// Ends a job: nothing of it starts any more, what is out is stopped.
+    pub(crate) fn end_job(&mut self, job: JobNumber, state: JobState) {
+        let at = self.now();
+        self.emit(Event::JobEnding { job, state, at });
+        let (from, to) = (TaskId { job, step: 0, index: 0 }, TaskId { job, step: u16::MAX, index: u32::MAX });
+        let live: Vec<TaskId> = self.state.tables.attempts.range(from..=to).map(|(t, _)| *t).collect();
+        for t in live {
+            self.stop(t, StopReason::JobEnding);
+        }
+        self.settle_job(job);
+    }
+
+    /// Looks whether a job is over.
+    fn settle_job(&mut self, job: JobNumber) {
+        let Some(j) = self.state.tables.jobs.get(&job) else { return };
+        if j.spec.is_none() || j.live() > 0 {
+            return;
+        }
+        let all = j.summary.tasks;
+        let state = match j.ending {
+            Some(s) => s,
+            None if all.waiting == 0 => JobState::Succeeded,
+            None => return,
+        };
+        let at = self.now();
+        self.emit(Event::JobOver { job, state, at });
+    }
+
+    /// Stops what is out of a gang that can't run whole, so that nobody waits alone.
+    pub(crate) fn break_gang(&mut self, job: JobNumber, step: u16) {
+        let (from, to) = (TaskId { job, step, index: 0 }, TaskId { job, step, index: u32::MAX });
+        let live: Vec<TaskId> = self.state.tables.attempts.range(from..=to).map(|(t, _)| *t).collect();
+        for t in live {
+            self.stop(t, StopReason::GangBroken);
+        }
+    }
+
+    /// An attempt is over: the one place where that is acted on.
+    pub(crate) fn attempt_over(&mut self, task: TaskId, how: TaskEvent) {
+        let at = self.now();
+        let Some(j) = self.state.tables.jobs.get(&task.job) else { return };
+        let Some(spec) = j.spec.as_deref() else { return };
+        let st = &spec.steps[task.step as usize];
+        let (gang, tasks) = (st.gang, st.tasks);
+        let failures = j.steps[task.step as usize].tasks[task.index as usize].failures;
+        let given_up = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures;
+        let was_ending = j.ending.is_some();
+        let how = if given_up { TaskEvent::GivenUp } else { how };
+        self.emit(Event::AttemptOver { task, how, at });
+        let s = &self.state.tables.jobs[&task.job].steps[task.step as usize];
+        let (succeeded, gang_out) = (s.succeeded, s.gang_by.is_some());
+        if how == TaskEvent::Succeeded {
+            if succeeded == tasks && !was_ending {
+                if gang_out {
+                    self.emit(Event::GangSettled { job: task.job, step: task.step });
+                }
+                self.emit(Event::StepDone { job: task.job, step: task.step });
+            }
+        } else if given_up && !was_ending {
+            self.end_job(task.job, JobState::Failed);
+        } else if gang && !was_ending {
+            if gang_out {
+                self.emit(Event::GangSettled { job: task.job, step: task.step });
+            }
+            self.break_gang(task.job, task.step);
+        }
+        self.settle_job(task.job);
+    }
+}
--- /dev/null
+++ b/crates/scheduler-core/src/ledger_jobs.rs
@@ -0,0 +1,70 @@
+use crate::prelude::*;
+
+impl Ledger {
+    /// A caller's job: accepted once by name.
+    pub(crate) fn submit(&mut self, spec: JobSpec, due_in_ms: Millis) -> CallResult<JobAccepted> {
+        let digest = job_digest(&spec);
+        if let Some(j) = self.state.job(&spec.name) {
+            ensure!(j.digest == digest, call_error::conflict("job", &spec.name));
+            return Ok(JobAccepted { name: spec.name, job: j.number, state: j.summary.state, already: true });
+        }
+        self.state.may_accept(&spec)?;
+        let at = self.now();
+        let (name, job) = (spec.name.clone(), self.state.tables.next_job);
+        let urgency = self.state.urgency(&spec.queue, spec.urgency);
+        self.emit(Event::JobAccepted { spec: Arc::new(spec), digest, at, due_at: at + due_in_ms, urgency });
+        if due_in_ms == 0 {
+            self.emit(Event::JobDue { job });
+        }
+        Ok(JobAccepted { name, job, state: JobState::Waiting, already: false })
+    }
+
+    /// A caller's cancellation.
+    pub(crate) fn cancel(&mut self, name: &str) -> CallResult<JobCancelled> {
+        let j = self.state.job(name).ok_or_else(|| call_error::not_found("job", name))?;
+        let job = j.number;
+        if j.ending.is_none() && !j.summary.state.is_final() {
+            self.end_job(job, JobState::Cancelled);
+        }
+        let state = self.state.job(name).map_or(JobState::Cancelled, |j| j.summary.state);
+        Ok(JobCancelled { name: name.to_owned(), state })
+    }
+
+    /// A whole tree of settings.
+    pub(crate) fn put_configuration(&mut self, base: u64, change_id: &str, tree: &[u8]) -> CallResult<ConfigurationAccepted> {
+        let o = self.state.configuration.put(base, change_id, tree).map_err(call_error::of_put)?;
+        if !o.already_applied {
+            let at = self.now();
+            self.emit(Event::ConfigurationChanged { version: o.version, at });
+        }
+        Ok(ConfigurationAccepted { version: o.version, digest: o.digest.to_string(), already: o.already_applied })
+    }
+}
+
+impl ClusterState {
+    /// Whether a new job may be accepted now, and if not, why.
+    pub fn may_accept(&self, spec: &JobSpec) -> CallResult<()> {
+        let faults = spec.faults();
+        ensure!(faults.is_empty(), call_error::invalid(faults));
+        let fault = |path: &str, problem: String| call_error::invalid(vec![Fault::new(path, problem)]);
+        let Some((_, most, _, failures)) = self.queue_bounds(&spec.queue) else {
+            return Err(fault("queue", format!("no zone has an enabled queue named {}", spec.queue)).build());
+        };
+        ensure!(u64::from(spec.allowed_failures) <= failures, fault("allowed_failures", format!("the queue allows at most {failures}")));
+        let serves = |z: &Name| {
+            self.queue_settings(z, &spec.queue)
+                .is_some_and(|q| q.settings.services.is_empty() || q.settings.services.contains(&spec.service))
+        };
+        let zones = self.queue_zones.get(&spec.queue);
+        ensure!(zones.is_none_or(|z| z.iter().any(serves)), fault("service", format!("queue {} doesn't take it", spec.queue)));
+        let hint = self.tables.rules.hold_interval_ms * RETRY_HOLDS;
+        let open: u64 = self.open_jobs.values().sum();
+        ensure!(open < self.tables.rules.open_jobs, call_error::shed("open jobs of the cluster", hint));
+        let waiting = self.open_jobs.get(&spec.queue).copied().unwrap_or(0);
+        ensure!(waiting < most, call_error::shed("max_waiting_jobs of the queue", hint));
+        Ok(())
+    }
+}
+
+/// Hint to come back after a shed job, in hold intervals.
+const RETRY_HOLDS: u64 = 2;
--- /dev/null
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -0,0 +1,284 @@
+use crate::prelude::*;
+
+impl Ledger {
+    /// A worker told of itself.
+    pub(crate) fn register(&mut self, told: RegisterWorker) -> CallResult<WorkerRegistered> {
+        let name = told.name.clone();
+        let faults = worker_faults(&told);
+        ensure!(faults.is_empty(), call_error::invalid(faults));
+        let Some((i, w)) = self.state.worker(&name) else {
+            let worker = self.state.tables.next_worker;
+            self.emit(Event::WorkerKnown { worker, told });
+            self.share_workers();
+            return Ok(WorkerRegistered { name, reborn: false });
+        };
+        let same_place = (&w.told.zone, &w.told.service, &w.told.kind) == (&told.zone, &told.service, &told.kind);
+        let busy = self.state.on_worker.get(&i).is_some_and(|s| !s.is_empty());
+        ensure!(same_place || !busy, call_error::not_allowed(&name, "zone, service or kind can't change while tasks are on it"));
+        ensure!(!w.old_boots.contains(&told.boot_id), call_error::not_allowed(&name, "that boot is over"));
+        let reborn = w.told.boot_id != told.boot_id;
+        if reborn {
+            self.reborn(i, &told.boot_id);
+        }
+        if self.state.tables.workers[&i].told != told {
+            self.emit(Event::WorkerKnown { worker: i, told });
+        }
+        self.share_workers();
+        Ok(WorkerRegistered { name, reborn })
+    }
+
+    /// A worker came back with another boot. That proves the end of all that was known to run on the old one. A start
+    /// that was not proven may still reach the new boot, so it is voided there.
+    fn reborn(&mut self, worker: WorkerIndex, boot_id: &str) {
+        let old = self.state.tables.workers[&worker].told.boot_id.clone();
+        self.emit(Event::WorkerReborn { worker, boot_id: boot_id.to_owned() });
+        for t in self.tasks_on(worker) {
+            let started = self.state.tables.attempts.get(&t).and_then(|a| a.started.as_ref()).map(|s| s.1.clone());
+            match started {
+                Some(b) if b == old => self.attempt_over(t, TaskEvent::Lost),
+                Some(_) => {}
+                None => self.stop(t, StopReason::Unproven),
+            }
+        }
+    }
+
+    /// The tasks out at a worker.
+    fn tasks_on(&self, worker: WorkerIndex) -> Vec<TaskId> {
+        self.state.on_worker.get(&worker).into_iter().flatten().copied().collect()
+    }
+
+    /// What a gateway learned from a worker. Each line is checked against the one attempt that is out.
+    pub(crate) fn facts(&mut self, f: &WorkerFacts) {
+        let Some((i, w)) = self.state.worker(&f.worker) else { return };
+        let old = w.old_boots.contains(&f.boot_id);
+        if w.told.boot_id != f.boot_id && !old {
+            self.reborn(i, &f.boot_id);
+        }
+        let at = self.now();
+        for e in &f.ended {
+            self.ended(i, e);
+        }
+        if old {
+            // A boot that is over can still tell of ends; what it says of starts and voids proves nothing any more.
+            return;
+        }
+        for &a in &f.started {
+            let live = self.live(i, a);
+            match live {
+                Some(x) if x.started.is_none() => {
+                    self.emit(Event::AttemptStarted { task: a.task, boot_id: f.boot_id.clone(), at });
+                    self.settle_gang(a.task);
+                }
+                Some(_) => {}
+                None if self.is_over(a) && !f.ended.iter().any(|e| e.attempt == a) => self.emit(Event::OrphanSeen { worker: i, attempt: a }),
+                None => {}
+            }
+        }
+        for &a in &f.voided {
+            if let Some(x) = self.live(i, a) {
+                // A void by the boot that told of its start means that it doesn't run there any more.
+                let how = if x.started.is_some() { TaskEvent::Lost } else { TaskEvent::Voided };
+                self.attempt_over(a.task, how);
+            } else if self.state.tables.orphans.contains(&(i, a)) {
+                self.emit(Event::OrphanGone { worker: i, attempt: a });
+            }
+        }
+        for &a in &f.missing {
+            if self.live(i, a).is_some_and(|x| x.started.as_ref().is_some_and(|s| s.1 == f.boot_id)) {
+                self.stop(a.task, StopReason::Missing);
+            }
+        }
+        let w = &self.state.tables.workers[&i];
+        if let Some(asked) = f.draining.filter(|d| *d != w.drain_asked) {
+            let ordered = w.drain_ordered;
+            self.emit(Event::WorkerDraining { worker: i, ordered, asked });
+            if asked {
+                self.void_unproven(i, StopReason::Draining);
+            }
+        }
+        if let Some(reachable) = f.reachable.filter(|r| *r != self.state.tables.workers[&i].reachable) {
+            self.emit(Event::WorkerReachable { worker: i, reachable });
+        }
+    }
+
+    /// The live attempt of that id on that worker.
+    fn live(&self, worker: WorkerIndex, a: AttemptId) -> Option<&Attempt> {
+        self.state.tables.attempts.get(&a.task).filter(|x| x.worker == worker && x.number == a.number)
+    }
+
+    /// Whether an attempt id was given out and is over.
+    fn is_over(&self, a: AttemptId) -> bool {
+        a.task.job < self.state.tables.next_job
+    }
+
+    /// An attempt ended at a worker.
+    fn ended(&mut self, worker: WorkerIndex, e: &EndedAttempt) {
+        if self.live(worker, e.attempt).is_some() {
+            let how = match e.outcome {
+                Outcome::Succeeded => TaskEvent::Succeeded,
+                Outcome::Failed => TaskEvent::Failed,
+                Outcome::Stopped => TaskEvent::Stopped,
+            };
+            if self.state.tables.attempts[&e.attempt.task].started.is_none() && how != TaskEvent::Stopped {
+                let (at, boot_id) = (self.now(), self.state.tables.workers[&worker].told.boot_id.clone());
+                self.emit(Event::AttemptStarted { task: e.attempt.task, boot_id, at });
+            }
+            self.attempt_over(e.attempt.task, how);
+        } else if self.state.tables.orphans.contains(&(worker, e.attempt)) {
+            self.emit(Event::OrphanGone { worker, attempt: e.attempt });
+        }
+    }
+
+    /// Looks whether a gang runs whole.
+    fn settle_gang(&mut self, task: TaskId) {
+        let Some(s) = self.state.tables.jobs.get(&task.job).and_then(|j| j.steps.get(task.step as usize)) else { return };
+        if s.gang_by.is_none() {
+            return;
+        }
+        let (from, to) = (TaskId { index: 0, ..task }, TaskId { index: u32::MAX, ..task });
+        if self.state.tables.attempts.range(from..=to).all(|(_, a)| a.started.is_some()) {
+            self.emit(Event::GangSettled { job: task.job, step: task.step });
+        }
+    }
+
+    /// Voids what is on its way to a worker.
+    fn void_unproven(&mut self, worker: WorkerIndex, reason: StopReason) {
+        for t in self.tasks_on(worker) {
+            if self.state.tables.attempts.get(&t).is_some_and(|a| a.started.is_none()) {
+                self.stop(t, reason);
+            }
+        }
+    }
+
+    /// A drain, or its end.
+    pub(crate) fn drain(&mut self, d: &DrainWorker) -> CallResult<WorkerDrained> {
+        let (i, w) = self.state.worker(&d.name).ok_or_else(|| call_error::not_found("worker", &d.name))?;
+        let asked = w.drain_asked && d.on;
+        if (w.drain_ordered, w.drain_asked) != (d.on, asked) {
+            self.emit(Event::WorkerDraining { worker: i, ordered: d.on, asked });
+        }
+        if d.on {
+            self.void_unproven(i, StopReason::Draining);
+        }
+        Ok(WorkerDrained { name: d.name.clone(), draining: d.on, attempts: self.tasks_on(i).len() as u32 })
+    }
+
+    /// Forgets a worker.
+    pub(crate) fn remove(&mut self, r: &RemoveWorker) -> CallResult<WorkerRemoved> {
+        let (i, _) = self.state.worker(&r.name).ok_or_else(|| call_error::not_found("worker", &r.name))?;
+        let tasks = self.tasks_on(i);
+        let busy = format!("{} attempts are on it: drain it and wait, or declare it lost", tasks.len());
+        ensure!(tasks.is_empty() || r.declare_lost, call_error::not_allowed(&r.name, busy));
+        for &t in &tasks {
+            self.attempt_over(t, TaskEvent::Lost);
+        }
+        self.emit(Event::WorkerGone { worker: i, name: r.name.clone() });
+        Ok(WorkerRemoved { name: r.name.clone(), lost_attempts: tasks.len() as u32 })
+    }
+
+    /// A zone evacuation, or its end. What runs until cancelled moves; what ends by itself may end.
+    pub(crate) fn evacuate(&mut self, e: EvacuateZone) -> CallResult<ZoneEvacuated> {
+        ensure!(!e.zone.is_empty() && !e.order_id.is_empty(), call_error::invalid(vec![Fault::new("order_id", "zone and order_id want a value")]));
+        let in_zone = |l: &Ledger| -> Vec<TaskId> {
+            let s = &l.state;
+            let here = s.tables.workers.iter().filter(|(_, w)| w.told.zone == e.zone).map(|(i, _)| *i);
+            here.flat_map(|i| s.on_worker.get(&i).into_iter().flatten().copied()).collect()
+        };
+        if let Some((_, zone, on)) = self.state.tables.orders.iter().find(|o| o.0 == e.order_id) {
+            ensure!((zone, *on) == (&e.zone, e.on), call_error::conflict("evacuation order", &e.order_id));
+            let on = self.state.tables.evacuated.contains(&e.zone);
+            return Ok(ZoneEvacuated { zone: e.zone.clone(), on, already: true, attempts: in_zone(self).len() as u32 });
+        }
+        let at = self.now();
+        self.emit(Event::ZoneEvacuated { zone: e.zone.clone(), on: e.on, order_id: e.order_id.clone(), at });
+        if e.on {
+            for t in in_zone(self) {
+                let lasting = self.state.tables.jobs.get(&t.job).and_then(|j| j.spec.as_ref()).is_some_and(|s| s.run_until_cancelled);
+                if lasting || self.state.tables.attempts.get(&t).is_some_and(|a| a.started.is_none()) {
+                    self.stop(t, StopReason::Evacuated);
+                }
+            }
+        }
+        Ok(ZoneEvacuated { zone: e.zone.clone(), on: e.on, already: false, attempts: in_zone(self).len() as u32 })
+    }
+
+    /// A gateway attached.
+    pub(crate) fn gateway_attached(&mut self, name: Name, record: GatewayRecord) {
+        if self.state.tables.gateways.get(&name) != Some(&record) {
+            self.emit(Event::GatewayAttached { name, record });
+            self.share_workers();
+        }
+    }
+
+    /// Shares the workers among the live gateways: each worker stays where it is while that is fair, prefers a gateway of
+    /// its zone, and moves when its gateway is gone or holds more than its part.
+    pub(crate) fn share_workers(&mut self) {
+        let s = &self.state.tables;
+        let live: Vec<(&Name, &GatewayRecord)> = s.gateways.iter().filter(|(_, g)| g.alive).collect();
+        let mut by_zone: BTreeMap<&str, Vec<(WorkerIndex, &WorkerRecord)>> = BTreeMap::new();
+        for (i, w) in &s.workers {
+            by_zone.entry(&w.told.zone).or_default().push((*i, w));
+        }
+        let mut load: BTreeMap<&Name, usize> = live.iter().map(|(n, _)| (*n, 0)).collect();
+        let mut moves = Vec::new();
+        for (zone, workers) in by_zone {
+            let near: Vec<&Name> = live.iter().filter(|(_, g)| g.zone == zone).map(|(n, _)| *n).collect();
+            let pool: Vec<&Name> = if near.is_empty() { live.iter().map(|(n, _)| *n).collect() } else { near };
+            if pool.is_empty() {
+                moves.extend(workers.iter().filter(|(_, w)| w.gateway.is_some()).map(|(i, _)| (*i, None)));
+                continue;
+            }
+            let part = workers.len().div_ceil(pool.len());
+            let mut held: BTreeMap<&Name, usize> = BTreeMap::new();
+            let mut homeless = Vec::new();
+            for (i, w) in workers {
+                match w.gateway.as_ref().filter(|g| pool.contains(g)) {
+                    Some(g) if held.get(g).copied().unwrap_or(0) < part => {
+                        *held.entry(g).or_default() += 1;
+                        *load.entry(g).or_default() += 1;
+                    }
+                    _ => homeless.push(i),
+                }
+            }
+            for i in homeless {
+                let Some(&g) = pool.iter().min_by_key(|g| (load.get(*g).copied().unwrap_or(0), **g)) else { break };
+                *load.entry(g).or_default() += 1;
+                moves.push((i, Some(g.clone())));
+            }
+        }
+        for (worker, gateway) in moves {
+            self.emit(Event::WorkerShared { worker, gateway });
+        }
+    }
+}
+
+/// What is wrong with what a worker told of itself.
+fn worker_faults(w: &RegisterWorker) -> Vec<Fault> {
+    let mut v = Vec::new();
+    for (path, s) in [("name", &w.name), ("boot_id", &w.boot_id), ("service", &w.service), ("kind", &w.kind), ("zone", &w.zone)] {
+        if s.is_empty() || s.len() > 120 || s.contains(char::is_whitespace) || s.contains('/') {
+            v.push(Fault::new(path, "wants 1 to 120 characters without blanks and slashes"));
+        }
+    }
+    if w.address.parse::<std::net::SocketAddr>().is_err() {
+        v.push(Fault::new("address", "wants an IP number and a port"));
+    }
+    if w.cpu_millis == 0 || w.memory_mb == 0 {
+        v.push(Fault::new("cpu_millis", "wants CPU and memory above 0"));
+    }
+    v
+}
+
+impl ClusterState {
+    /// Whether a worker may get a task of that queue, service and kinds now, its room, trust and caps aside.
+    pub fn worker_allows(&self, w: &WorkerRecord, queue: &str, service: &str, kinds: &[Name]) -> bool {
+        let held = w.gateway.as_ref().is_some_and(|g| self.tables.gateways.get(g).is_some_and(|g| g.alive));
+        let open = held && w.reachable && !w.draining() && !self.tables.evacuated.contains(&w.told.zone);
+        open && w.told.service == service
+            && (kinds.is_empty() || kinds.contains(&w.told.kind))
+            && self.queue_settings(&w.told.zone, queue).is_some_and(|q| {
+                let q = &q.settings;
+                (q.kinds.is_empty() || q.kinds.contains(&w.told.kind)) && (q.services.is_empty() || q.services.iter().any(|s| s == service))
+            })
+    }
+}
--- /dev/null
+++ b/crates/scheduler-core/src/lib.rs
@@ -0,0 +1,34 @@
+//! The scheduler without I/O: no async, sockets, clocks or disks. Everything is a function of state, input and time.
+
+pub mod prelude;
+
+mod attempt;
+mod call_decision;
+pub mod call_error;
+mod cluster_rules;
+mod cluster_state;
+mod command;
+mod event;
+mod explain;
+mod fold;
+mod gateway_session;
+mod job;
+mod journal;
+mod ledger;
+mod ledger_jobs;
+mod ledger_workers;
+mod peer_frame;
+mod queries;
+mod ready_index;
+mod scheduler;
+mod scheduler_input;
+mod scheduler_members;
+mod scheduler_settings;
+mod start_planner;
+mod tables;
+mod task_state;
+mod view_builder;
+mod worker_health;
+mod worker_record;
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/scheduler-core/src/prelude.rs
@@ -0,0 +1,57 @@
+//! Every name this crate's files use.
+
+pub use std::borrow::Borrow;
+pub use std::cmp::{Ordering, Reverse};
+pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub use std::fmt;
+pub use std::sync::{Arc, LazyLock};
+
+pub use cluster_messages::prelude::{
+    AnswerBody, AttemptId, BandSummary, CallBody, CallError, CallResult, CancelJob, ClusterStatus, Configuration, ConfigurationAccepted,
+    ConfigurationChange, ConfigurationHistoryList, ConfigurationUpdate, ControlCall, DrainWorker, EffectiveSettings, EffectiveValue,
+    EndedAttempt, EvacuateZone, Fault, GatewayFrame, GatewaySummary, GetEffectiveSettings, JobAccepted, JobCancelled, JobExplanation,
+    JobList, JobNumber, JobSpec, JobState, JobStatus, JobSummary, ListJobs, ListWorkers, MemberChanged, MemberList, MemberSummary, Millis,
+    Name, Outcome, Payload, QueueList, QueueUse, RegisterWorker, RemoveWorker, SchedulerFrame, StartOrder, StepSpec, StepStatus, StopOrder,
+    TaskCounts, TaskId, ViewUpdate, WIRE_VERSION, WireMessage, WorkerDrained, WorkerFacts, WorkerList, WorkerRegistered, WorkerRemoved,
+    WorkerSummary, ZoneEvacuated,
+};
+pub use declared_settings::prelude::{
+    ConfigurationHistory, ConfigurationSettings, EffectiveQueue, EffectiveTree, HistoryEntry, PutError, QueueSettings, SnapshotError,
+};
+pub use lifetime_placement::prelude::{
+    FleetBands, LearnedDistributions, PlacementError, PlacementSettings, PlacementStrategy, Room, TaskFeatures, TaskOutcome, TaskToPlace,
+    WorkerBand, WorkerBandState, WorkerIndex,
+};
+pub use minicbor::{Decode, Encode};
+pub use replicated_log::prelude::{
+    ChaCha8Rng, Effect, Input, LogEntry, LogEntryBody, LogSettings, MemberAddress, Membership, MembershipChange, PersistRequest,
+    ProposeError, Replica, RestoredState, SeedableRng, Snapshot,
+};
+pub use serde::Deserialize;
+pub use sha2::{Digest, Sha256};
+pub use snafu::{ResultExt, Snafu, ensure};
+pub use state_chart::Chart;
+
+pub use crate::attempt::{Attempt, StopReason};
+pub use crate::call_decision::CallDecision;
+pub use crate::call_error;
+pub use crate::cluster_rules::ClusterRules;
+pub use crate::cluster_state::{Bands, ClusterState, StateError, Use};
+pub use crate::command::{Command, CommandBatch};
+pub use crate::event::Event;
+pub use crate::gateway_session::GatewaySession;
+pub use crate::job::{Job, Step, Task, job_digest};
+pub use crate::journal::Journal;
+pub use crate::ledger::{Answer, Ledger};
+pub use crate::peer_frame::PeerFrame;
+pub(crate) use crate::queries::patch_of;
+pub use crate::ready_index::{ReadyGroup, ReadyIndex};
+pub use crate::scheduler::{Scheduler, SchedulerCounters, Waiter};
+pub use crate::scheduler_input::{ChannelId, SchedulerEffect, SchedulerInput};
+pub use crate::scheduler_members::PeerMember;
+pub use crate::scheduler_settings::SchedulerSettings;
+pub use crate::start_planner::{PlannedStarts, StartPlanner};
+pub use crate::tables::Tables;
+pub use crate::task_state::{TaskEvent, TaskState, task_chart};
+pub use crate::worker_health::WorkerHealth;
+pub use crate::worker_record::{GatewayRecord, WorkerRecord};
--- /dev/null
+++ b/crates/scheduler-core/src/scheduler_settings.rs
@@ -0,0 +1,80 @@
+use crate::prelude::*;
+
+/// A scheduler's place and bounds.
+#[derive(Clone, Debug)]
+pub struct SchedulerSettings {
+    /// The cluster's name.
+    pub cluster: Name,
+    /// Where other processes reach it.
+    pub address: String,
+    /// Its zone.
+    pub zone: Name,
+    /// Addresses of other schedulers to ask first.
+    pub seeds: Vec<String>,
+    /// Addresses of the schedulers that found the cluster; the first of them does it once all say that they are new.
+    pub founders: Vec<String>,
+    /// How many voters the cluster wants.
+    pub voters: usize,
+    /// How long a gateway may be silent before its share goes to others.
+    pub gateway_silence_ms: Millis,
+    /// How often a worker is heard of at least.
+    pub hold_interval_ms: Millis,
+    /// How long a voter may be silent before a spare that has caught up takes its place.
+    pub member_silence_ms: Millis,
+    /// Bounds of the log.
+    pub log: LogSettings,
+}
+
+impl SchedulerSettings {
+    /// Settings from the bounds that operators set.
+    ///
+    /// ```
+    /// let s = scheduler_core::SchedulerSettings::new("c", "127.0.0.1:1", "z", 1_000);
+    /// assert!(s.member_silence_ms > 25_000);
+    /// ```
+    pub fn new(cluster: &str, address: &str, zone: &str, election_timeout_ms: Millis) -> Self {
+        let mut log = LogSettings::from_bounds(election_timeout_ms, LOG_BATCH_BYTES);
+        log.max_command_bytes = MOST_COMMAND_BYTES;
+        log.max_uncommitted_bytes = 2 * MOST_COMMAND_BYTES;
+        SchedulerSettings {
+            cluster: cluster.to_owned(),
+            address: address.to_owned(),
+            zone: zone.to_owned(),
+            seeds: Vec::new(),
+            founders: Vec::new(),
+            voters: 0,
+            gateway_silence_ms: GATEWAY_SILENCE_TIMEOUTS * election_timeout_ms,
+            hold_interval_ms: election_timeout_ms,
+            member_silence_ms: MEMBER_SILENCE_TIMEOUTS * election_timeout_ms,
+            log,
+        }
+    }
+
+    /// How many voters the cluster wants: as set, or as many as founded it, an odd number.
+    pub fn wanted_voters(&self) -> usize {
+        let n = if self.voters > 0 { self.voters } else { self.founders.len() };
+        n.max(1) - usize::from(n > 0 && n % 2 == 0)
+    }
+
+    /// How often jobs' news goes to a gateway when nothing urgent takes them along.
+    pub fn view_flush_ms(&self) -> Millis {
+        self.hold_interval_ms / VIEW_FLUSHES_A_HOLD
+    }
+
+    /// The cluster's number in the log's messages.
+    pub fn cluster_id(&self) -> u64 {
+        let d = Sha256::digest(self.cluster.as_bytes());
+        u64::from_be_bytes([d[0], d[1], d[2], d[3], d[4], d[5], d[6], d[7]])
+    }
+}
+
+/// Bytes of one append.
+const LOG_BATCH_BYTES: usize = 64 << 10;
+/// Largest command: a whole tree of settings with room to spare.
+const MOST_COMMAND_BYTES: usize = 8 << 20;
+/// Silence of a gateway, in election timeouts.
+const GATEWAY_SILENCE_TIMEOUTS: u64 = 3;
+/// Silence of a voter, in election timeouts: longer than a machine is cut off or frozen as a rule.
+const MEMBER_SILENCE_TIMEOUTS: u64 = 45;
+/// Flushes of jobs' news in one hold interval.
+const VIEW_FLUSHES_A_HOLD: u64 = 4;
--- /dev/null
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -0,0 +1,232 @@
+use crate::prelude::*;
+
+/// One planned group of starts: (task, worker), and whether all or none.
+pub type PlannedStarts = (Vec<(TaskId, WorkerIndex)>, bool);
+
+/// Works out which waiting tasks start where, from the committed state as it is: nothing is changed here.
+///
+/// Order: urgency, then the queue that uses least for its share, then the time a job was due. A task that fits nowhere
+/// speaks for its whole group, so a mass of impossible jobs costs one look a round.
+pub struct StartPlanner<'a> {
+    state: &'a ClusterState,
+    now: Millis,
+    most: usize,
+    /// Room given in this round, by worker.
+    given: BTreeMap<WorkerIndex, Room>,
+    /// Use given in this round, by (zone, queue).
+    used: BTreeMap<(Name, Name), Use>,
+    /// Room given in this round, by zone.
+    zones: BTreeMap<Name, Room>,
+    /// Use of each queue over all zones, as a ratio to the fleet and its share.
+    weights: BTreeMap<Name, f64>,
+    fleet: Room,
+    plans: Vec<PlannedStarts>,
+    count: usize,
+}
+
+impl<'a> StartPlanner<'a> {
+    /// A planner over a state.
+    pub fn new(state: &'a ClusterState, now: Millis, most: usize) -> Self {
+        let fleet = state.zone_room.values().fold(Room::new(0, 0), |s, z| s.add(z.0));
+        StartPlanner {
+            state,
+            now,
+            most,
+            given: BTreeMap::new(),
+            used: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            weights: BTreeMap::new(),
+            fleet,
+            plans: Vec::new(),
+            count: 0,
+        }
+    }
+
+    /// Plans one round.
+    pub fn plan(mut self) -> Vec<PlannedStarts> {
+        let mut levels: BTreeMap<Reverse<u8>, Vec<(&'a ReadyGroup, Vec<(Millis, JobNumber, u16)>)>> = BTreeMap::new();
+        for (g, steps) in self.state.ready.groups() {
+            let u = self.state.urgency(&g.queue, g.asked);
+            levels.entry(Reverse(u)).or_default().push((g, steps.iter().take(self.most).copied().collect()));
+        }
+        for (Reverse(urgency), groups) in levels {
+            self.plan_level(urgency, groups);
+            if self.count >= self.most {
+                break;
+            }
+        }
+        self.plans
+    }
+
+    /// Plans all groups of one urgency, the queue that lags most behind its share first.
+    fn plan_level(&mut self, urgency: u8, groups: Vec<(&'a ReadyGroup, Vec<(Millis, JobNumber, u16)>)>) {
+        // Each group with its steps still to do, the next one last.
+        let mut left: Vec<(&ReadyGroup, Vec<(Millis, JobNumber, u16)>)> = groups;
+        for (_, steps) in &mut left {
+            steps.reverse();
+        }
+        while self.count < self.most {
+            let rank = |g: &ReadyGroup, s: &[(Millis, JobNumber, u16)], p: &Self| (p.weights.get(&g.queue).copied(), s.last().map(|s| s.0));
+            for (g, _) in &left {
+                if !self.weights.contains_key(&g.queue) {
+                    let w = self.weight(&g.queue);
+                    self.weights.insert(g.queue.clone(), w);
+                }
+            }
+            let best = (0..left.len()).min_by(|&a, &b| {
+                let (x, y) = (rank(left[a].0, &left[a].1, self), rank(left[b].0, &left[b].1, self));
+                x.0.partial_cmp(&y.0).unwrap_or(Ordering::Equal).then(x.1.cmp(&y.1))
+            });
+            let Some(i) = best else { return };
+            let Some((_, job, step)) = left[i].1.pop() else {
+                left.swap_remove(i);
+                continue;
+            };
+            if !self.plan_step(urgency, left[i].0, job, step) {
+                left.swap_remove(i);
+                continue;
+            }
+            self.weights.remove(&left[i].0.queue);
+        }
+    }
+
+    /// How much a queue uses for its share: the larger of CPU and memory, as a ratio to the fleet.
+    fn weight(&self, queue: &str) -> f64 {
+        let zones: Vec<&Name> = self.state.zone_room.keys().collect();
+        let mut used = Room::new(0, 0);
+        let mut share = 0.0f64;
+        for z in zones {
+            let key = (z.clone(), queue.to_owned());
+            for u in [self.state.queue_use.get(&key), self.used.get(&key)].into_iter().flatten() {
+                used = used.add(u.1);
+            }
+            if let Some(q) = self.state.queue_settings(z, queue) {
+                share = share.max(q.settings.share);
+            }
+        }
+        let (cpu, memory) = used.shares_ppm(self.fleet);
+        cpu.max(memory) as f64 / share.max(f64::MIN_POSITIVE)
+    }
+
+    /// Plans the waiting tasks of one step; false when its group fits nowhere now.
+    fn plan_step(&mut self, urgency: u8, g: &ReadyGroup, job: JobNumber, step: u16) -> bool {
+        let Some(j) = self.state.tables.jobs.get(&job) else { return true };
+        let (Some(spec), Some(s)) = (j.spec.as_deref(), j.steps.get(step as usize)) else { return true };
+        let task = |index: u32| TaskId { job, step, index };
+        if g.gang > 0 {
+            let members: Vec<u32> = s.waiting().collect();
+            let Some(places) = self.places(urgency, g, spec, step, &members, s) else { return false };
+            self.count += members.len();
+            self.plans.push((members.iter().map(|m| task(*m)).zip(places).collect(), true));
+            return true;
+        }
+        let mut starts = Vec::new();
+        let mut fits = true;
+        for index in s.waiting().take(self.most - self.count) {
+            match self.places(urgency, g, spec, step, &[index], s) {
+                Some(p) => starts.extend(p.into_iter().map(|w| (task(index), w))),
+                None => {
+                    // A task that shuns the worker it failed on says nothing of its group.
+                    fits = s.tasks[index as usize].avoid.is_some();
+                    break;
+                }
+            }
+        }
+        if !starts.is_empty() {
+            self.count += starts.len();
+            self.plans.push((starts, false));
+        }
+        fits
+    }
+
+    /// Workers for all of `members`, or none; what they take is counted as given.
+    fn places(&mut self, urgency: u8, g: &ReadyGroup, spec: &JobSpec, step: u16, members: &[u32], s: &Step) -> Option<Vec<WorkerIndex>> {
+        let base = self.state.task_to_place(spec, step, 0);
+        let mut found: Vec<WorkerIndex> = Vec::with_capacity(members.len());
+        let zones = self.zone_allowance(urgency, g);
+        let mut taken: BTreeMap<Name, u64> = BTreeMap::new();
+        for &m in members {
+            let avoid = s.tasks[m as usize].avoid;
+            let fits = |p: &Self, w: WorkerIndex, avoid: Option<WorkerIndex>| {
+                let Some(r) = p.state.tables.workers.get(&w) else { return false };
+                let live = p.state.on_worker.get(&w).map_or(0, BTreeSet::len) + usize::from(p.given.contains_key(&w));
+                Some(w) != avoid
+                    && r.health.may_try(p.now, live)
+                    && taken.get(&r.told.zone).copied().unwrap_or(0) < zones.get(&r.told.zone).copied().unwrap_or(0)
+                    && g.room.add(p.given.get(&w).copied().unwrap_or_default()).fits(r.room().sub(r.used))
+                    && p.state.worker_allows(r, &g.queue, &g.service, &g.kinds)
+            };
+            let w = self
+                .state
+                .bands
+                .assign(self.now, &base, |w| fits(self, w, avoid))
+                .or_else(|| avoid.and_then(|_| self.state.bands.assign(self.now, &base, |w| fits(self, w, None))));
+            let Some(w) = w else {
+                self.give_back(g, &found);
+                return None;
+            };
+            let zone = self.state.tables.workers[&w].told.zone.clone();
+            *taken.entry(zone.clone()).or_default() += 1;
+            let r = self.given.entry(w).or_default();
+            *r = r.add(g.room);
+            let z = self.zones.entry(zone.clone()).or_default();
+            *z = z.add(g.room);
+            let u = self.used.entry((zone, g.queue.clone())).or_default();
+            *u = (u.0 + 1, u.1.add(g.room));
+            found.push(w);
+        }
+        Some(found)
+    }
+
+    /// Takes back what a gang was given that finds no whole place.
+    fn give_back(&mut self, g: &ReadyGroup, found: &[WorkerIndex]) {
+        for w in found {
+            let zone = self.state.tables.workers[w].told.zone.clone();
+            if let Some(r) = self.given.get_mut(w) {
+                *r = r.sub(g.room);
+                if *r == Room::default() {
+                    self.given.remove(w);
+                }
+            }
+            if let Some(z) = self.zones.get_mut(&zone) {
+                *z = z.sub(g.room);
+            }
+            if let Some(u) = self.used.get_mut(&(zone, g.queue.clone())) {
+                *u = (u.0 - 1, u.1.sub(g.room));
+            }
+        }
+    }
+
+    /// How many more tasks of a group each zone may take: caps of the queue, and the reserve for urgent work.
+    fn zone_allowance(&self, urgency: u8, g: &ReadyGroup) -> BTreeMap<Name, u64> {
+        let mut v = BTreeMap::new();
+        let ratio = |room: Room, r: f64| Room::new((room.cpu_millis as f64 * r) as u64, (room.memory_mb as f64 * r) as u64);
+        let times = |free: Room| {
+            let by = |free: u64, one: u64| free.checked_div(one).unwrap_or(u64::MAX);
+            by(free.cpu_millis, g.room.cpu_millis).min(by(free.memory_mb, g.room.memory_mb))
+        };
+        for (zone, (room, used)) in &self.state.zone_room {
+            let Some(q) = self.state.queue_settings(zone, &g.queue) else { continue };
+            let key = (zone.clone(), g.queue.clone());
+            let a = self.state.queue_use.get(&key).copied().unwrap_or_default();
+            let b = self.used.get(&key).copied().unwrap_or_default();
+            let (tasks, mine) = (a.0 + b.0, a.1.add(b.1));
+            let mut n = u64::MAX;
+            if q.settings.cap_tasks > 0 {
+                n = n.min(q.settings.cap_tasks.saturating_sub(tasks));
+            }
+            let cap = Room::new(
+                (room.cpu_millis as f64 * q.settings.cap_cpu_share) as u64,
+                (room.memory_mb as f64 * q.settings.cap_memory_share) as u64,
+            );
+            n = n.min(times(cap.sub(mine)));
+            if urgency < self.state.tables.rules.urgent_from {
+                let reserve = self.state.effective.zone(zone).map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
+                let all = used.add(self.zones.get(zone).copied().unwrap_or_default());
+                n = n.min(times(ratio(*room, 1.0 - reserve).sub(all)));
+            }
+            v.insert(zone.clone(), n);
+        }
+        v
+    }
+}
--- /dev/null
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -0,0 +1,166 @@
+use crate::prelude::*;
+
+/// Jobs in one part of a whole view.
+const JOBS_A_PART: usize = 4_096;
+
+impl Ledger {
+    /// What changed for a gateway since the view number `seen`: one update, or the parts of a whole view.
+    pub fn updates(&self, gateway: &str, instance: u64, seen: u64, configuration: u64) -> Vec<ViewUpdate> {
+        match self.journal.since(seen).filter(|_| seen > 0) {
+            Some(events) => vec![self.delta(gateway, instance, configuration, events)],
+            None => self.whole(gateway, instance),
+        }
+    }
+
+    /// Folds the events into one update.
+    fn delta<'e>(&self, gateway: &str, instance: u64, configuration: u64, events: impl Iterator<Item = &'e Event>) -> ViewUpdate {
+        let s = &self.state;
+        let mut jobs = BTreeSet::new();
+        let mut workers = BTreeSet::new();
+        let mut starts = BTreeSet::new();
+        let mut stops = BTreeSet::new();
+        let mut orphans = BTreeSet::new();
+        let mut u = ViewUpdate { upto: self.journal.last(), log_time_ms: s.tables.log_time, ..ViewUpdate::default() };
+        let mut accepted = 0;
+        for e in events {
+            match e {
+                Event::JobAccepted { spec, .. } => {
+                    accepted += 1;
+                    jobs.extend(s.names.get(&spec.name));
+                }
+                Event::JobDue { .. } | Event::GangOut { .. } | Event::GangSettled { .. } | Event::StepDone { .. } => {}
+                Event::JobEnding { job, .. } | Event::JobOver { job, .. } => {
+                    jobs.insert(*job);
+                }
+                Event::JobForgotten { job } => u.jobs_forgotten.push(*job),
+                Event::AttemptIntended { task, .. } => {
+                    jobs.insert(task.job);
+                    starts.insert(*task);
+                }
+                Event::AttemptStarted { task, .. } | Event::AttemptOver { task, .. } => {
+                    jobs.insert(task.job);
+                }
+                Event::StopWanted { task, .. } => {
+                    stops.insert(*task);
+                }
+                Event::WorkerKnown { worker, .. }
+                | Event::WorkerReborn { worker, .. }
+                | Event::WorkerDraining { worker, .. }
+                | Event::WorkerReachable { worker, .. }
+                | Event::WorkerShared { worker, .. } => {
+                    workers.insert(*worker);
+                }
+                Event::OrphanSeen { worker, attempt } => {
+                    orphans.insert((*worker, *attempt));
+                }
+                Event::OrphanGone { .. } | Event::GatewayAttached { .. } | Event::GatewayLost { .. } | Event::ClockAnchored { .. } => {}
+                Event::WorkerGone { name, .. } => u.workers_removed.push(name.clone()),
+                Event::ConfigurationChanged { .. } => {}
+                Event::ZoneEvacuated { .. } => u.evacuated_zones = Some(s.tables.evacuated.iter().cloned().collect()),
+            }
+        }
+        // Forgotten and accepted within one delta: nothing to tell of it.
+        debug_assert!(accepted <= self.journal.last());
+        u.jobs = jobs.iter().filter_map(|j| s.tables.jobs.get(j)).map(|j| j.summary.clone()).collect();
+        u.starts = starts.iter().filter_map(|t| self.start_order(gateway, instance, *t)).collect();
+        let mine = |w: WorkerIndex| s.tables.workers.get(&w).is_some_and(|w| w.gateway.as_deref() == Some(gateway));
+        u.stops = stops.iter().filter_map(|t| self.stop_order(*t).filter(|o| mine(o.0))).map(|o| o.1).collect();
+        let orphans = orphans.into_iter().filter(|(w, a)| mine(*w) && s.tables.orphans.contains(&(*w, *a)));
+        u.stops.extend(orphans.map(|(w, attempt)| StopOrder { attempt, worker: s.worker_name(w) }));
+        for w in workers {
+            self.add_worker(&mut u, gateway, w);
+        }
+        u.configuration = self.configuration_update(configuration);
+        u
+    }
+
+    /// A worker's line; for its holder also what is on it.
+    fn add_worker(&self, u: &mut ViewUpdate, gateway: &str, w: WorkerIndex) {
+        let s = &self.state;
+        let Some(line) = s.worker_summary(w) else { return };
+        if line.gateway.as_deref() == Some(gateway) {
+            for t in s.on_worker.get(&w).into_iter().flatten() {
+                let Some(a) = s.tables.attempts.get(t) else { continue };
+                let attempt = AttemptId { task: *t, number: a.number };
+                if a.started.as_ref().is_some_and(|x| x.1 == line.boot_id) {
+                    u.held.push((line.name.clone(), attempt));
+                }
+                if a.stop.is_some() {
+                    u.stops.push(StopOrder { attempt, worker: line.name.clone() });
+                }
+            }
+            let from = (w, AttemptId { task: TaskId { job: 0, step: 0, index: 0 }, number: 0 });
+            for (_, attempt) in s.tables.orphans.range(from..).take_while(|o| o.0 == w) {
+                u.stops.push(StopOrder { attempt: *attempt, worker: line.name.clone() });
+            }
+        }
+        u.workers.push(line);
+    }
+
+    /// The start order of an attempt that this instance of this gateway is to send.
+    fn start_order(&self, gateway: &str, instance: u64, t: TaskId) -> Option<StartOrder> {
+        let s = &self.state;
+        let a = s.tables.attempts.get(&t).filter(|a| a.started.is_none() && a.stop.is_none())?;
+        if a.gateway != gateway || a.instance != instance {
+            return None;
+        }
+        let spec = s.tables.jobs.get(&t.job)?.spec.as_deref()?;
+        let st = &spec.steps[t.step as usize];
+        Some(StartOrder {
+            attempt: AttemptId { task: t, number: a.number },
+            term: a.term,
+            worker: s.worker_name(a.worker),
+            job_name: spec.name.clone(),
+            service: spec.service.clone(),
+            cpu_millis: st.cpu_millis,
+            memory_mb: st.memory_mb,
+            run_until_cancelled: spec.run_until_cancelled,
+            payload: st.payload.clone(),
+            intended_at_ms: a.intended_at,
+            time_budget_ms: s.tables.rules.order_time_budget_ms,
+        })
+    }
+
+    /// The stop order of an attempt that is to be stopped, and where it is.
+    fn stop_order(&self, t: TaskId) -> Option<(WorkerIndex, StopOrder)> {
+        let a = self.state.tables.attempts.get(&t).filter(|a| a.stop.is_some())?;
+        Some((a.worker, StopOrder { attempt: AttemptId { task: t, number: a.number }, worker: self.state.worker_name(a.worker) }))
+    }
+
+    /// What takes a gateway from its version to the one in force.
+    pub fn configuration_update(&self, seen: u64) -> Option<ConfigurationUpdate> {
+        let c = &self.state.configuration;
+        if seen == c.version() {
+            return None;
+        }
+        let mut u = ConfigurationUpdate { version: c.version(), digest: c.digest().to_string(), patches: Vec::new(), base: seen, tree: None };
+        match c.since(seen).filter(|_| seen > 0) {
+            Some(entries) => u.patches = entries.iter().map(|e| patch_of(e)).collect(),
+            None => u.tree = Some(Payload(c.tree().to_value())),
+        }
+        Some(u)
+    }
+
+    /// A whole view in parts: only the last carries a view number, so a channel that breaks between them starts over.
+    fn whole(&self, gateway: &str, instance: u64) -> Vec<ViewUpdate> {
+        let s = &self.state;
+        let all: Vec<&Job> = s.tables.jobs.values().collect();
+        let mut parts: Vec<ViewUpdate> = all
+            .chunks(JOBS_A_PART)
+            .map(|c| ViewUpdate { jobs: c.iter().map(|j| j.summary.clone()).collect(), ..ViewUpdate::default() })
+            .collect();
+        let mut last = ViewUpdate { upto: self.journal.last(), ..ViewUpdate::default() };
+        for w in s.tables.workers.keys() {
+            self.add_worker(&mut last, gateway, *w);
+        }
+        last.starts = s.tables.attempts.keys().filter_map(|t| self.start_order(gateway, instance, *t)).collect();
+        last.configuration = self.configuration_update(0);
+        last.evacuated_zones = Some(s.tables.evacuated.iter().cloned().collect());
+        parts.push(last);
+        parts[0].reset = true;
+        for p in &mut parts {
+            p.log_time_ms = s.tables.log_time;
+        }
+        parts
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/daemon.rs
@@ -0,0 +1,188 @@
+use crate::gateway_doors::{Incoming, read};
+use crate::prelude::*;
+
+/// The executor: feeds the core with inputs, and carries out its effects in order.
+pub struct Daemon {
+    settings: DaemonSettings,
+    clock: MonotonicClock,
+    page: MetricsPage,
+}
+
+/// Ticks of the core in one election timeout.
+const TICKS_A_TIMEOUT: u64 = 40;
+/// Inputs that wait for the core at most.
+const INBOX: usize = 8_192;
+/// Refreshes of the metrics in one election timeout, as a divisor.
+const METRICS_TIMEOUTS: u64 = 2;
+
+impl Daemon {
+    /// A daemon with these settings.
+    pub fn new(settings: DaemonSettings, page: MetricsPage) -> Self {
+        Daemon { settings, clock: MonotonicClock::start(), page }
+    }
+
+    /// Settings of the core.
+    fn core_settings(&self) -> SchedulerSettings {
+        let s = &self.settings;
+        let address = s.advertise_internal.unwrap_or(s.listen_internal).to_string();
+        let mut c = SchedulerSettings::new(&s.cluster, &address, &s.zone, s.election_timeout_ms);
+        c.seeds = s.seeds.iter().map(ToString::to_string).collect();
+        c.founders = s.founders.iter().map(ToString::to_string).collect();
+        c.voters = s.voters as usize;
+        c.gateway_silence_ms = s.gateway_silence_ms;
+        c.hold_interval_ms = s.hold_interval_ms;
+        c.log.sled_cache_bytes = s.disk_cache_kb << 10;
+        c
+    }
+
+    /// Opens the store; a fresh one gets an id of its own, so that a lost disk never comes back as its old self.
+    fn open(&self, c: &SchedulerSettings) -> Result<(SledLogStorage, u64, RestoredState), DaemonError> {
+        let folder = self.settings.data_folder.as_ref().context(crate::daemon_error::NoDataFolderSnafu)?;
+        let folder = PathBuf::from(folder).join("log");
+        let mut storage = SledLogStorage::open(&folder, &c.log).context(crate::daemon_error::StorageSnafu)?;
+        let id = match storage.identity().context(crate::daemon_error::StorageSnafu)? {
+            Some(id) => id,
+            None => {
+                // 53 bits: operators' JSON tools must not round it.
+                let id = rand::random::<u64>() >> 11;
+                storage.set_identity(id).context(crate::daemon_error::StorageSnafu)?;
+                id
+            }
+        };
+        let restored = storage.load().context(crate::daemon_error::StorageSnafu)?;
+        Ok((storage, id, restored))
+    }
+
+    /// Runs until a signal, or until the disk is gone.
+    pub async fn run(self) -> Result<(), DaemonError> {
+        let c = self.core_settings();
+        let (storage, id, restored) = self.open(&c)?;
+        let now = self.clock.now();
+        let mut core = Scheduler::new(c.clone(), id, restored, now, rand::random()).context(crate::daemon_error::StateSnafu)?;
+        info!(id, address = %c.address, zone = %c.zone, entries = core.replica().last_index(), "scheduler up");
+
+        let budget = Duration::from_millis(c.log.election_timeout_ms);
+        let listener = listen(self.settings.listen_internal).await.context(crate::daemon_error::PlumbingSnafu)?;
+        let (tx, mut rx) = mpsc::channel::<Incoming>(INBOX);
+        let door_tx = tx.clone();
+        tokio::spawn(async move {
+            for id in 1.. {
+                match listener.next().await {
+                    Ok(incoming) => {
+                        tokio::spawn(read(id, incoming, budget, door_tx.clone()));
+                    }
+                    Err(_) => {
+                        counter!("accept_errors_total").increment(1);
+                        tokio::time::sleep(budget / TICKS_A_TIMEOUT as u32).await;
+                    }
+                }
+            }
+        });
+        let (disk_tx, mut disk_rx) = mpsc::channel::<SchedulerInput>(INBOX);
+        let disk = DiskWriter::start(storage, disk_tx)?;
+        let stop = shutdown_signal().context(crate::daemon_error::PlumbingSnafu)?;
+        tokio::pin!(stop);
+        tokio::spawn(pages(self.settings.listen_http, self.page.clone()));
+        let mut ticks = tokio::time::interval(budget / TICKS_A_TIMEOUT as u32);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        let mut peers = PeerLinks::new(self.settings.listen_internal.ip(), budget);
+        let mut doors = GatewayDoors::default();
+        let mut metrics_at = 0;
+        loop {
+            let input = tokio::select! {
+                biased;
+                () = &mut stop => break,
+                i = disk_rx.recv() => i.context(crate::daemon_error::DiskGoneSnafu)?,
+                _ = ticks.tick() => SchedulerInput::Tick { wall_ms: wall_ms() },
+                i = rx.recv() => match i {
+                    None => break,
+                    Some(Incoming::Door(id, inbox)) => {
+                        doors.open(id, inbox);
+                        SchedulerInput::GatewayUp(id)
+                    }
+                    Some(Incoming::Input(i)) => i,
+                },
+            };
+            if let SchedulerInput::GatewayDown(id) = &input {
+                doors.close(*id);
+            }
+            for e in core.step(self.clock.now(), input) {
+                match e {
+                    SchedulerEffect::Persist(r) => disk.write(r)?,
+                    SchedulerEffect::Peer { address, bytes } => peers.send(&address, bytes),
+                    SchedulerEffect::Gateway(id, f) => doors.send(id, &f),
+                    SchedulerEffect::Leading(Some(term)) => info!(term, "leads"),
+                    SchedulerEffect::Leading(None) => info!("leads no more"),
+                }
+            }
+            let now = self.clock.now();
+            if now >= metrics_at {
+                metrics_at = now + METRICS_TIMEOUTS * c.log.election_timeout_ms;
+                publish(&core, now);
+            }
+        }
+        info!("scheduler down");
+        Ok(())
+    }
+}
+
+/// The machine's wall clock.
+fn wall_ms() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as Millis)
+}
+
+/// Counters and gauges of the core.
+fn publish(core: &Scheduler, now: Millis) {
+    let (n, r, l) = (&core.counters, core.replica(), core.replica().counters());
+    let totals = [
+        ("scheduler_entries_applied_total", n.entries),
+        ("scheduler_commands_applied_total", n.commands),
+        ("scheduler_unreadable_entries_total", n.unreadable),
+        ("scheduler_answers_total", n.answers),
+        ("scheduler_shed_total", n.shed),
+        ("scheduler_placement_rounds_total", n.rounds),
+        ("scheduler_starts_planned_total", n.planned),
+        ("scheduler_updates_total", n.updates),
+        ("scheduler_malformed_frames_total", n.malformed + l.malformed),
+        ("scheduler_repairs_total", n.repairs),
+        ("log_unknown_versions_total", l.unknown_version),
+        ("log_misrouted_total", l.misrouted),
+        ("log_campaigns_total", l.campaigns),
+        ("log_elections_won_total", l.elections_won),
+        ("log_quorum_lost_total", l.quorum_lost),
+        ("log_committed_conflicts_total", l.committed_conflicts),
+        ("log_truncated_total", l.truncated),
+        ("log_snapshots_installed_total", l.snapshots_installed),
+    ];
+    for (name, v) in totals {
+        counter!(name).absolute(v);
+    }
+    let s = core.state();
+    gauge!("scheduler_leads").set(if core.is_serving(now) { 1.0 } else { 0.0 });
+    gauge!("log_term").set(r.term() as f64);
+    gauge!("log_commit_index").set(r.commit_index() as f64);
+    gauge!("log_last_index").set(r.last_index() as f64);
+    gauge!("log_bytes").set(r.log().bytes() as f64);
+    gauge!("scheduler_jobs").set(s.tables.jobs.len() as f64);
+    gauge!("scheduler_attempts").set(s.tables.attempts.len() as f64);
+    gauge!("scheduler_workers").set(s.tables.workers.len() as f64);
+    gauge!("scheduler_configuration_version").set(s.configuration.version() as f64);
+}
+
+/// `GET /metrics` and `GET /healthz`.
+async fn pages(address: SocketAddr, page: MetricsPage) {
+    let metrics = move |_: VizRequest| {
+        let text = page.render();
+        async move { Ok::<_, viz::Error>(VizResponse::text(text)) }
+    };
+    let healthz = |_: VizRequest| async { Ok::<_, viz::Error>(VizResponse::text("ok\n")) };
+    let app = Router::new().get("/metrics", metrics).get("/healthz", healthz);
+    match tokio::net::TcpListener::bind(address).await {
+        Ok(l) => {
+            if let Err(e) = serve(l, app).await {
+                error!(error = %e, "pages ended");
+            }
+        }
+        Err(e) => error!(error = %e, %address, "pages can't be served"),
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/prelude.rs
@@ -0,0 +1,28 @@
+//! Every name this crate's files use.
+
+pub use std::collections::BTreeMap;
+pub use std::net::{IpAddr, SocketAddr};
+pub use std::path::PathBuf;
+pub use std::thread;
+pub use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+pub use bytes::Bytes;
+pub use cluster_messages::prelude::{GatewayFrame, Millis, SchedulerFrame, WireMessage};
+pub use futures::StreamExt;
+pub use metrics::{counter, gauge};
+pub use process_plumbing::prelude::{
+    Channel, ChannelInbox, Clock, DaemonSettings, IncomingChannel, LogFormat, MetricsPage, MonotonicClock, PlumbingError,
+    daemon_runtime, dial, init_logs, listen, settings_or_exit, shutdown_signal,
+};
+pub use replicated_log::prelude::{LogStorage, PersistRequest, RestoredState, SledLogStorage, StorageError};
+pub use scheduler_core::prelude::{ChannelId, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings, StateError};
+pub use snafu::{OptionExt, ResultExt, Snafu};
+pub use tokio::sync::mpsc;
+pub use tracing::{error, info, warn};
+pub use viz::{Request as VizRequest, Response as VizResponse, ResponseExt, Router, serve};
+
+pub use crate::daemon::Daemon;
+pub use crate::daemon_error::DaemonError;
+pub use crate::disk_writer::DiskWriter;
+pub use crate::gateway_doors::GatewayDoors;
+pub use crate::peer_links::PeerLinks;
--- /dev/null
+++ b/crates/state-chart/src/lib.rs
@@ -0,0 +1,7 @@
+//! State charts kept in JSON files, interpreted by the code that they steer.
+
+pub mod prelude;
+
+mod chart;
+
+pub use prelude::*;
