--- a/crates/cluster-messages/src/worker_facts.rs
+++ b/crates/cluster-messages/src/worker_facts.rs
@@ -28,6 +28,10 @@
     /// Whether it answers; absent: as before.
     #[n(7)]
     pub reachable: Option<bool>,
+    /// The boot that the log names, when it is another one than this: only who saw this boot answer after that one may
+    /// say that it followed.
+    #[n(8)]
+    pub follows: Option<String>,
 }
 
 impl WorkerFacts {
--- /dev/null
+++ b/crates/fleet-simulator/src/lib.rs
@@ -0,0 +1,20 @@
+//! The whole fleet on one thread in simulated time, from a seed: the daemons' own cores, stand-in workers, callers and
+//! operators, a network that loses, delays, doubles and cuts, disks that tear, and clocks that jump.
+
+pub mod prelude;
+
+mod agenda;
+mod fault;
+mod fault_plan;
+mod machine;
+mod network;
+mod occurrence;
+mod simulation;
+mod simulation_faults;
+mod simulation_gateways;
+mod simulation_outcome;
+mod simulation_schedulers;
+mod simulation_settings;
+mod simulation_workers;
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/fleet-simulator/src/prelude.rs
@@ -0,0 +1,37 @@
+//! Every name this crate's files use.
+
+pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+pub use caller_stand_in::{
+    CallerEffect, CallerInput, CallerModel, CallerSettings, Model, OperatorModel, OperatorSettings, Profile,
+};
+pub use cluster_messages::prelude::{
+    AnswerBody, CallBody, CallResult, ControlCall, GatewayFrame, HoldAnswer, Millis, Name, RegisterWorker, SchedulerFrame, StartAnswer,
+    StopAnswer,
+};
+pub use fleet_oracle::{Observation, Oracle, OracleBounds, Verdict};
+pub use gateway_core::{GatewayCore, GatewayEffect, GatewayInput, GatewaySettings, Reply};
+pub use rand::{Rng, SeedableRng};
+pub use rand_chacha::ChaCha8Rng;
+pub use replicated_log::prelude::{LogStorage, MemoryLogStorage, RestoredState};
+pub use scheduler_core::prelude::{Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings};
+pub use worker_stand_in::{Behaviour, Reach, WorkerAnswer, WorkerEffect, WorkerIdentity, WorkerInput, WorkerModel};
+
+pub use crate::agenda::Agenda;
+pub use crate::fault::Fault;
+pub use crate::fault_plan::{FaultPlan, fault_plan};
+pub use crate::machine::Machine;
+pub use crate::network::{Network, Node};
+pub use crate::occurrence::{Direction, Occurrence, Order, WorkerReply};
+pub use crate::simulation::Simulation;
+pub use crate::simulation_gateways::{GatewayNode, Origin};
+pub use crate::simulation_outcome::SimulationOutcome;
+pub use crate::simulation_schedulers::{Channel, SchedulerNode};
+pub use crate::simulation_settings::SimulationSettings;
+pub use crate::simulation_workers::WorkerNode;
+
+/// Unix time at simulated time 0, in milliseconds.
+pub const UNIX_AT_ZERO_MS: Millis = 1_780_000_000_000;
+
+/// Schedulers and gateways tick this often.
+pub const TICK_MS: Millis = 25;
--- /dev/null
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -0,0 +1,59 @@
+use crate::prelude::*;
+
+/// The size and length of a run.
+#[derive(Clone, Debug)]
+pub struct SimulationSettings {
+    /// All chance comes from it.
+    pub seed: u64,
+    /// Whose callers and operators.
+    pub profile: Profile,
+    /// Schedulers.
+    pub schedulers: usize,
+    /// Gateways.
+    pub gateways: usize,
+    /// Workers.
+    pub workers: usize,
+    /// How long the load lasts.
+    pub load_ms: Millis,
+    /// Times the profile's rate.
+    pub rate: f64,
+    /// How long the fleet has to come to rest after the load.
+    pub settle_ms: Millis,
+    /// What goes wrong, and when.
+    pub faults: FaultPlan,
+    /// Longest outage that counts as none.
+    pub outage_ms: Millis,
+    /// The schedulers' election timeout.
+    pub election_timeout_ms: Millis,
+}
+
+impl SimulationSettings {
+    /// A small fleet without faults.
+    pub fn new(seed: u64) -> Self {
+        SimulationSettings {
+            seed,
+            profile: if seed.is_multiple_of(2) { Profile::Thaali } else { Profile::Harwick },
+            schedulers: 3,
+            gateways: 3,
+            workers: 9,
+            load_ms: 40_000,
+            rate: 0.3,
+            settle_ms: 40_000,
+            faults: Vec::new(),
+            outage_ms: 12_000,
+            election_timeout_ms: 1_000,
+        }
+    }
+
+    /// A small fleet with so many faults drawn from the seed. Faults overlap, so that outages have no bound.
+    pub fn chaos(seed: u64, faults: usize) -> Self {
+        let mut s = Self::new(seed);
+        if seed % 3 == 0 {
+            (s.schedulers, s.gateways) = (5, 4);
+        }
+        s.load_ms = 60_000;
+        s.outage_ms = s.load_ms;
+        s.faults = fault_plan(&s, faults, 4_000, s.load_ms - 2_000);
+        s
+    }
+}
--- /dev/null
+++ b/crates/fleet-simulator/src/simulation_workers.rs
@@ -0,0 +1,90 @@
+use crate::prelude::*;
+
+/// A worker.
+pub struct WorkerNode {
+    /// Who it is.
+    pub identity: WorkerIdentity,
+    /// Its model.
+    pub model: WorkerModel,
+    /// Its boots so far.
+    pub boots: u64,
+    /// When its next tick is set.
+    tick_at: Millis,
+}
+
+impl WorkerNode {
+    /// The i-th worker of a deployment: every other one is old, three to a rack.
+    pub fn new(profile: Profile, i: usize, seed: u64) -> Self {
+        let mut identity = WorkerIdentity::example(&format!("w{i}"));
+        identity.address = std::net::SocketAddr::from(([10, 0, 2, i as u8 + 1], 80));
+        identity.service = profile.streams(1).first().map(|s| s.service.to_owned()).unwrap_or_default();
+        identity.kind = if i % 2 == 0 { "new".into() } else { "old".into() };
+        identity.zone = crate::simulation_gateways::zone_of(profile, i);
+        identity.rack = format!("r{}", i / 3);
+        (identity.cpu_millis, identity.memory_mb) = (8_000, 16_000);
+        let model = WorkerModel::new(identity.registration(&boot(i, 1)), Behaviour::default(), seed);
+        WorkerNode { identity, model, boots: 1, tick_at: 0 }
+    }
+}
+
+/// A boot id.
+fn boot(worker: usize, n: u64) -> String {
+    format!("b{worker}-{n}")
+}
+
+impl Simulation {
+    /// Steps a worker and carries out its effects.
+    pub(crate) fn worker(&mut self, i: usize, input: WorkerInput) {
+        let effects = self.workers[i].model.step(self.now, input);
+        for e in effects {
+            match e {
+                WorkerEffect::Observe(o) => self.oracle.observe(self.now, o),
+                WorkerEffect::Silence { .. } => {}
+                WorkerEffect::Answer { token, answer } => {
+                    let Some((gateway, ..)) = self.calls.get(&token) else { continue };
+                    let way = (Node::Worker(i), Node::Gateway(*gateway));
+                    let delay = self.network.delay();
+                    if self.network.cut_until(self.now, way.0, way.1).is_none() {
+                        self.agenda.set(self.now + delay, Occurrence::OrderOver { call: token, reply: WorkerReply::Answer(answer) });
+                    }
+                }
+                WorkerEffect::Register(r) => self.register(i, r),
+            }
+        }
+        if let Some(at) = self.workers[i].model.next_wake() {
+            let at = at.max(self.now + 1);
+            let w = &mut self.workers[i];
+            if w.tick_at <= self.now || at < w.tick_at {
+                w.tick_at = at;
+                self.agenda.set(at, Occurrence::WorkerTick(i));
+            }
+        }
+    }
+
+    fn register(&mut self, i: usize, r: RegisterWorker) {
+        let gateway = self.rng.random_range(0..self.gateways.len());
+        let origin = Origin::Worker(i);
+        let delay = self.network.delay();
+        let o = match self.network.cut_until(self.now, Node::Worker(i), Node::Gateway(gateway)) {
+            None => Occurrence::Ask { gateway, origin, time_budget_ms: 2_000, body: Box::new(r.into_body()) },
+            Some(_) => Occurrence::AskLost { origin },
+        };
+        self.agenda.set(self.now + delay, o);
+    }
+
+    pub(crate) fn order_arrives(&mut self, token: u64, i: usize, order: Order) {
+        let input = match order {
+            Order::Start(order) => WorkerInput::Start { token, order },
+            Order::Stop(order) => WorkerInput::Stop { token, order },
+            Order::Hold(order) => WorkerInput::Hold { token, order },
+        };
+        self.worker(i, input);
+    }
+
+    /// A worker's process dies and comes back.
+    pub(crate) fn worker_dies(&mut self, i: usize, away_ms: Millis) {
+        self.workers[i].boots += 1;
+        let boot_id = boot(i, self.workers[i].boots);
+        self.worker(i, WorkerInput::Die { boot_id, away_ms });
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/fact_book.rs
@@ -0,0 +1,81 @@
+use crate::prelude::*;
+
+/// What of a worker's facts may be told now, as its boot stands.
+fn worth(f: &WorkerFacts, share: &WorkerShare) -> Option<WorkerFacts> {
+    match share.standing(&f.worker, &f.boot_id) {
+        BootStanding::Newest => Some(WorkerFacts { follows: share.logged_boot(&f.worker).filter(|b| *b != f.boot_id), ..f.clone() }),
+        BootStanding::Past if !f.ended.is_empty() => {
+            Some(WorkerFacts { worker: f.worker.clone(), boot_id: f.boot_id.clone(), ended: f.ended.clone(), ..WorkerFacts::default() })
+        }
+        BootStanding::Past | BootStanding::Unknown => None,
+    }
+}
+
+/// Facts on their way into the log: gathered, numbered, told again until they are done.
+#[derive(Clone, Debug, Default)]
+pub struct FactBook {
+    next: BTreeMap<(Name, String), FactLine>,
+    told: BTreeMap<u64, (usize, Vec<WorkerFacts>)>,
+    reports: u64,
+    facts_told: usize,
+    told_at: Option<Millis>,
+}
+
+impl FactBook {
+    /// Where facts about one boot of one worker are added.
+    pub fn line(&mut self, worker: &str, boot: &str) -> &mut FactLine {
+        self.next.entry((worker.to_owned(), boot.to_owned())).or_default()
+    }
+
+    /// Facts that are not done.
+    pub fn len(&self) -> usize {
+        self.facts_told + self.gathered()
+    }
+
+    /// Whether all are done.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Facts not yet in a report.
+    fn gathered(&self) -> usize {
+        self.next.values().map(FactLine::len).sum()
+    }
+
+    /// The next report, when it is due: at once after a pause, else in batches.
+    pub fn report(&mut self, now: Millis, s: &GatewaySettings, share: &WorkerShare) -> Option<GatewayFrame> {
+        if self.next.is_empty() {
+            return None;
+        }
+        let size = self.gathered();
+        let due = self.told_at.is_none_or(|t| now >= t + s.fact_interval()) || size >= s.fact_batch();
+        if !due {
+            return None;
+        }
+        self.told_at = Some(now);
+        let facts: Vec<WorkerFacts> =
+            std::mem::take(&mut self.next).into_iter().map(|((w, b), l)| l.into_facts(w, b)).filter(|f| !f.is_empty()).collect();
+        let facts: Vec<WorkerFacts> = facts.iter().filter_map(|f| worth(f, share)).collect();
+        if facts.is_empty() {
+            return None;
+        }
+        self.reports += 1;
+        self.facts_told += size;
+        self.told.insert(self.reports, (size, facts.clone()));
+        Some(GatewayFrame::Facts { report: self.reports, facts })
+    }
+
+    /// All reports that are not done, for a new channel; only what still counts of them.
+    pub fn again(&self, share: &WorkerShare) -> Vec<GatewayFrame> {
+        let again = |facts: &[WorkerFacts]| facts.iter().filter_map(|f| worth(f, share)).collect();
+        self.told.iter().map(|(&report, (_, facts))| GatewayFrame::Facts { report, facts: again(facts) }).collect()
+    }
+
+    /// All reports up to this one are in the log: their facts.
+    pub fn done(&mut self, report: u64) -> Vec<WorkerFacts> {
+        let later = self.told.split_off(&report.saturating_add(1));
+        let done = std::mem::replace(&mut self.told, later);
+        self.facts_told -= done.values().map(|(n, _)| n).sum::<usize>();
+        done.into_values().flat_map(|(_, f)| f).collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -0,0 +1,114 @@
+use crate::prelude::*;
+
+/// What a gateway is set to. All other times and bounds are ratios of these.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// The cluster's name.
+    pub cluster: Name,
+    /// The schedulers' election timeout.
+    pub election_timeout_ms: Millis,
+    /// After this long without a pulse a gateway loses its workers.
+    pub gateway_silence_ms: Millis,
+    /// How often a worker's hold is at least renewed, in fifths.
+    pub hold_interval_ms: Millis,
+    /// Most asks that wait for an answer.
+    pub inbox: usize,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        GatewaySettings { cluster: "firlock".into(), election_timeout_ms: 1_000, gateway_silence_ms: 3_000, hold_interval_ms: 1_000, inbox: 4_096 }
+    }
+}
+
+/// A part of a time, never 0.
+fn part(whole: Millis, by: Millis) -> Millis {
+    (whole / by).max(1)
+}
+
+impl GatewaySettings {
+    /// Between two pulses: several fit into the silence.
+    pub fn pulse_interval(&self) -> Millis {
+        part(self.gateway_silence_ms, 6)
+    }
+
+    /// Without an echo for this long a channel is dropped: half the silence is left to find the next leader.
+    pub fn echo_silence(&self) -> Millis {
+        part(self.gateway_silence_ms, 2)
+    }
+
+    /// How long a dial may take.
+    pub fn dial_budget(&self) -> Millis {
+        part(self.gateway_silence_ms, 4)
+    }
+
+    /// First wait between two dials.
+    pub fn dial_backoff(&self) -> Millis {
+        part(self.election_timeout_ms, 20)
+    }
+
+    /// Longest wait between two dials: a new leader is found soon after it is elected.
+    pub fn dial_backoff_most(&self) -> Millis {
+        part(self.election_timeout_ms, 2)
+    }
+
+    /// How long an ask waits for a leader.
+    pub fn patience(&self) -> Millis {
+        self.election_timeout_ms * 4
+    }
+
+    /// Oldest view that answers reads.
+    pub fn view_age_most(&self) -> Millis {
+        self.pulse_interval() * 2
+    }
+
+    /// How long a worker may keep a hold.
+    pub fn hold_wait(&self) -> Millis {
+        self.hold_interval_ms * 5
+    }
+
+    /// When a hold is given up: its wait, and room for the way.
+    pub fn hold_budget(&self) -> Millis {
+        self.hold_wait() + self.hold_interval_ms * 2
+    }
+
+    /// Least time between two holds of a worker, so that many small changes share one answer.
+    pub fn hold_gap(&self) -> Millis {
+        part(self.hold_interval_ms, 20)
+    }
+
+    /// First wait after a worker's error.
+    pub fn worker_backoff(&self) -> Millis {
+        part(self.hold_interval_ms, 5)
+    }
+
+    /// Longest wait after a worker's errors.
+    pub fn worker_backoff_most(&self) -> Millis {
+        self.hold_interval_ms * 2
+    }
+
+    /// Least time between two reports of facts.
+    pub fn fact_interval(&self) -> Millis {
+        part(self.hold_interval_ms, 20)
+    }
+
+    /// Lines of facts that make one report, however soon after the last one.
+    pub fn fact_batch(&self) -> usize {
+        (self.inbox / 8).max(1)
+    }
+
+    /// Lines of facts not yet done above which workers aren't asked for more.
+    pub fn fact_bound(&self) -> usize {
+        self.inbox * 4
+    }
+
+    /// Starts out at once.
+    pub fn starts_out(&self) -> usize {
+        (self.inbox / 8).max(1)
+    }
+
+    /// Settled attempts remembered, so that none is sent again.
+    pub fn settled_bound(&self) -> usize {
+        self.inbox * 16
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -0,0 +1,298 @@
+use crate::prelude::*;
+
+/// Boots remembered as past, for each worker.
+const PAST_BOOTS: usize = 8;
+/// Errors in a row after which a worker counts as out of reach.
+const ERRORS: u32 = 2;
+
+/// What a boot id says about a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BootNews {
+    /// The one known.
+    Same,
+    /// A newer one: all that ran before has ended.
+    New,
+    /// One that a newer one followed.
+    Past,
+}
+
+/// A hold that is out.
+#[derive(Clone, Debug)]
+struct OpenHold {
+    order: HoldOrder,
+    step: u64,
+}
+
+/// What a gateway knows of one worker from holding it.
+#[derive(Clone, Debug)]
+pub struct WorkerHold {
+    /// Where it takes orders.
+    pub address: String,
+    /// Whether it is in this gateway's share.
+    pub mine: bool,
+    boot: String,
+    boot_step: u64,
+    boot_logged: bool,
+    log_boot: String,
+    past: VecDeque<(String, bool)>,
+    change: u64,
+    seen: u64,
+    whole: bool,
+    open: Option<OpenHold>,
+    next_at: Millis,
+    errors: u32,
+    listed: BTreeSet<AttemptId>,
+    proven: BTreeMap<AttemptId, u64>,
+    ended: BTreeMap<AttemptId, bool>,
+    draining: Option<bool>,
+    log_draining: bool,
+    reachable: bool,
+}
+
+impl WorkerHold {
+    /// Nothing known beyond the log's summary.
+    pub fn new(w: &WorkerSummary) -> Self {
+        WorkerHold {
+            address: w.address.clone(),
+            mine: false,
+            boot: w.boot_id.clone(),
+            boot_step: 0,
+            boot_logged: true,
+            log_boot: w.boot_id.clone(),
+            past: VecDeque::new(),
+            change: 0,
+            seen: 0,
+            whole: true,
+            open: None,
+            next_at: 0,
+            errors: 0,
+            listed: BTreeSet::new(),
+            proven: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            draining: None,
+            log_draining: w.draining,
+            reachable: w.reachable,
+        }
+    }
+
+    /// The newest boot known.
+    pub fn boot(&self) -> &str {
+        &self.boot
+    }
+
+    /// Takes over the log's summary, and whether it is in the share.
+    pub fn update(&mut self, now: Millis, step: u64, w: &WorkerSummary, mine: bool) {
+        if self.address != w.address {
+            self.address = w.address.clone();
+            self.errors = 0;
+            self.next_at = now;
+        }
+        self.log_draining = w.draining;
+        self.log_boot.clone_from(&w.boot_id);
+        self.meet(step, &w.boot_id);
+        self.mark_logged(&w.boot_id);
+        if mine && !self.mine {
+            self.next_at = now;
+            self.errors = 0;
+            self.reachable = w.reachable;
+        }
+        if !mine && self.mine {
+            self.forget();
+        }
+        self.mine = mine;
+    }
+
+    /// Forgets what a boot listed.
+    fn forget(&mut self) {
+        self.seen = 0;
+        self.listed.clear();
+        self.proven.clear();
+        self.ended.clear();
+        self.draining = None;
+    }
+
+    /// The log has met a boot.
+    fn mark_logged(&mut self, boot: &str) {
+        if boot == self.boot {
+            self.boot_logged = true;
+        }
+        self.past.iter_mut().filter(|p| p.0 == boot).for_each(|p| p.1 = true);
+    }
+
+    /// The boot that the log names.
+    pub fn logged_boot(&self) -> &str {
+        &self.log_boot
+    }
+
+    /// Where a boot stands.
+    pub fn standing(&self, boot: &str) -> BootStanding {
+        match self.past.iter().find(|p| p.0 == boot) {
+            _ if boot == self.boot => BootStanding::Newest,
+            Some((_, true)) => BootStanding::Past,
+            _ => BootStanding::Unknown,
+        }
+    }
+
+    /// Meets a boot id.
+    pub fn meet(&mut self, step: u64, boot: &str) -> BootNews {
+        if boot == self.boot {
+            return BootNews::Same;
+        }
+        if self.past.iter().any(|b| b.0 == boot) {
+            return BootNews::Past;
+        }
+        self.past.push_back((std::mem::replace(&mut self.boot, boot.to_owned()), std::mem::take(&mut self.boot_logged)));
+        self.boot_step = step;
+        if self.past.len() > PAST_BOOTS {
+            self.past.pop_front();
+        }
+        self.change = 0;
+        self.forget();
+        BootNews::New
+    }
+
+    /// The log knows an attempt as running on a boot. What the last list didn't show is looked for in a whole one.
+    pub fn told(&mut self, step: u64, boot: &str, a: AttemptId) {
+        if boot != self.boot || self.ended.contains_key(&a) {
+            return;
+        }
+        self.proven.entry(a).or_insert(step);
+        self.whole |= !self.listed.contains(&a);
+    }
+
+    /// A worker's own answer proved a start on a boot.
+    pub fn started(&mut self, step: u64, boot: &str, a: AttemptId) {
+        if boot == self.boot && self.mine && !self.ended.contains_key(&a) {
+            self.proven.entry(a).or_insert(step);
+        }
+    }
+
+    /// An attempt's end is known.
+    pub fn over(&mut self, a: AttemptId) {
+        self.proven.remove(&a);
+    }
+
+    /// An ended attempt is in the log: the next hold acknowledges it.
+    pub fn acknowledge(&mut self, a: AttemptId) {
+        if let Some(done) = self.ended.get_mut(&a) {
+            *done = true;
+        }
+    }
+
+    /// The next hold, when it is due.
+    pub fn hold(&mut self, now: Millis, step: u64, s: &GatewaySettings, worker: &str, gateway: &str) -> Option<GatewayEffect> {
+        if !self.mine || self.open.is_some() || now < self.next_at {
+            return None;
+        }
+        let order = HoldOrder {
+            worker: worker.to_owned(),
+            gateway: gateway.to_owned(),
+            seen: if std::mem::take(&mut self.whole) { 0 } else { self.seen },
+            wait_ms: s.hold_wait(),
+            acknowledged: self.ended.iter().filter(|(_, done)| **done).map(|(a, _)| *a).collect(),
+        };
+        self.open = Some(OpenHold { order: order.clone(), step });
+        self.next_at = now + s.hold_gap();
+        Some(GatewayEffect::Hold { address: self.address.clone(), order, give_up_after_ms: s.hold_budget() })
+    }
+
+    /// No answer came. True when it now counts as out of reach.
+    pub fn error(&mut self, now: Millis, s: &GatewaySettings, rng: &mut impl Rng) -> bool {
+        let Some(open) = self.open.take() else { return false };
+        self.whole |= open.order.seen == 0;
+        if !self.mine {
+            return false;
+        }
+        self.next_at = now + backoff(s.worker_backoff(), s.worker_backoff_most(), self.errors, rng);
+        self.errors = self.errors.saturating_add(1);
+        let lost = self.errors >= ERRORS && self.reachable;
+        if lost {
+            self.reachable = false;
+        }
+        lost
+    }
+
+    /// Compares an answer with what is known and adds what it proves; false when it is older than that.
+    pub fn answer(&mut self, step: u64, a: &HoldAnswer, line: &mut FactLine) -> bool {
+        let Some(open) = self.open.take() else { return false };
+        if !self.mine {
+            return true;
+        }
+        self.errors = 0;
+        let mut asked_seen = open.order.seen;
+        if a.boot_id != self.boot && open.step < self.boot_step {
+            // This hold left before the newest boot was known: an answer of another boot is an older one's.
+            return false;
+        }
+        match self.meet(step, &a.boot_id) {
+            BootNews::Past => return false,
+            BootNews::New => {
+                line.reachable = Some(true);
+                asked_seen = 0;
+            }
+            BootNews::Same => {}
+        }
+        if !std::mem::replace(&mut self.reachable, true) {
+            line.reachable = Some(true);
+        }
+        if a.change < self.change {
+            return false;
+        }
+        self.change = a.change;
+        self.say_draining(a.draining, line);
+        if a.unchanged {
+            self.drop_acknowledged(&open.order, &BTreeSet::new());
+            return true;
+        }
+        // Knowledge of a step comes before the holds of that step, hence `<=` below.
+        // A list that isn't newer than the one this hold named is an older hold's: it proves what it shows, not what it lacks.
+        let fresh = a.change > asked_seen;
+        self.seen = a.change;
+        self.fold_lists(step, a, line);
+        if fresh {
+            let gone: Vec<AttemptId> =
+                self.proven.iter().filter(|(x, known)| **known <= open.step && !self.listed.contains(x)).map(|(x, _)| *x).collect();
+            for x in gone {
+                self.proven.remove(&x);
+                line.missing.insert(x);
+            }
+        }
+        // Proven while this hold was out: the next whole list has to show it.
+        self.whole |= self.proven.keys().any(|x| !self.listed.contains(x));
+        self.drop_acknowledged(&open.order, &a.ended.iter().map(|e| e.attempt).collect());
+        true
+    }
+
+    /// Adds what the lists show.
+    fn fold_lists(&mut self, step: u64, a: &HoldAnswer, line: &mut FactLine) {
+        self.listed = a.running.iter().copied().collect();
+        for &x in &a.running {
+            if let Entry::Vacant(v) = self.proven.entry(x) {
+                v.insert(step);
+                line.started.insert(x);
+            }
+        }
+        for e in &a.ended {
+            self.proven.remove(&e.attempt);
+            if let Entry::Vacant(v) = self.ended.entry(e.attempt) {
+                v.insert(false);
+                line.ended.insert(e.attempt, *e);
+            }
+        }
+    }
+
+    /// The worker has seen the acknowledgements of a hold; what it lists still is kept.
+    fn drop_acknowledged(&mut self, order: &HoldOrder, listed: &BTreeSet<AttemptId>) {
+        for x in order.acknowledged.iter().filter(|x| !listed.contains(x)) {
+            self.ended.remove(x);
+        }
+    }
+
+    /// What the worker says of draining, when that changed, and at first where it matters to the log.
+    fn say_draining(&mut self, now_says: bool, line: &mut FactLine) {
+        if self.draining.map_or(now_says || self.log_draining, |before| before != now_says) {
+            line.draining = Some(now_says);
+        }
+        self.draining = Some(now_says);
+    }
+}
--- a/crates/lifetime-placement/src/bin/placement-replay/comparison.rs
+++ b/crates/lifetime-placement/src/bin/placement-replay/comparison.rs
@@ -12,6 +12,8 @@
     Las,
     /// LAVA with learned distributions.
     Lava,
+    /// LAVA with all recycling workers of a higher class alike.
+    LavaLevel,
     /// LAVA with predictions frozen at the start.
     LavaOneShot,
     /// LAS with true lifetimes.
@@ -22,17 +24,18 @@
 
 impl Contender {
     /// All of them.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::FirstFit,
         Self::BestFit,
         Self::Las,
         Self::Lava,
+        Self::LavaLevel,
         Self::LavaOneShot,
         Self::LasOracle,
         Self::LavaOracle,
     ];
     /// Those that go by learned predictions.
-    pub const LEARNED: [Self; 3] = [Self::Las, Self::Lava, Self::LavaOneShot];
+    pub const LEARNED: [Self; 4] = [Self::Las, Self::Lava, Self::LavaLevel, Self::LavaOneShot];
 }
 
 /// Reports of one contender on one fleet, one for each seed.
@@ -57,8 +60,16 @@
         wrong: f64,
         seeds: &[u64],
     ) -> Result<Self, ReplayError> {
-        let reports = seeds.iter().map(|s| Self::replay(contender, shape, settings, wrong, *s)).collect::<Result<_, _>>();
-        Ok(Self { fleet: shape.name, contender, wrong, reports: reports.context(PlacementSnafu)? })
+        let reports = seeds
+            .iter()
+            .map(|s| Self::replay(contender, shape, settings, wrong, *s))
+            .collect::<Result<_, _>>();
+        Ok(Self {
+            fleet: shape.name,
+            contender,
+            wrong,
+            reports: reports.context(PlacementSnafu)?,
+        })
     }
 
     fn replay(
@@ -72,15 +83,27 @@
         let learned = trace.mistaken(LearnedDistributions::new(settings), wrong, seed);
         let oracle = || trace.mistaken(trace.oracle(), wrong, seed);
         let (t, s) = (&trace, settings);
-        use PlacementStrategy as By;
         match contender {
-            Contender::FirstFit => Replay::run(t, shape, s, trace.oracle(), By::FirstFit),
-            Contender::BestFit => Replay::run(t, shape, s, trace.oracle(), By::BestFit),
-            Contender::Las => Replay::run(t, shape, s, learned, By::Las),
-            Contender::Lava => Replay::run(t, shape, s, learned, By::Lava),
-            Contender::LavaOneShot => Replay::run(t, shape, s, OneShot::new(learned), By::Lava),
-            Contender::LasOracle => Replay::run(t, shape, s, oracle(), By::Las),
-            Contender::LavaOracle => Replay::run(t, shape, s, oracle(), By::Lava),
+            Contender::FirstFit => {
+                Replay::run(t, shape, s, trace.oracle(), PlacementStrategy::FirstFit)
+            }
+            Contender::BestFit => {
+                Replay::run(t, shape, s, trace.oracle(), PlacementStrategy::BestFit)
+            }
+            Contender::Las => Replay::run(t, shape, s, learned, PlacementStrategy::Las),
+            Contender::Lava => Replay::run(t, shape, s, learned, PlacementStrategy::Lava),
+            Contender::LavaLevel => {
+                let level = PlacementSettings {
+                    near_recycling_first: false,
+                    ..s.clone()
+                };
+                Replay::run(t, shape, &level, learned, PlacementStrategy::Lava)
+            }
+            Contender::LavaOneShot => {
+                Replay::run(t, shape, s, OneShot::new(learned), PlacementStrategy::Lava)
+            }
+            Contender::LasOracle => Replay::run(t, shape, s, oracle(), PlacementStrategy::Las),
+            Contender::LavaOracle => Replay::run(t, shape, s, oracle(), PlacementStrategy::Lava),
         }
     }
 
--- a/crates/lifetime-placement/src/placement_settings.rs
+++ b/crates/lifetime-placement/src/placement_settings.rs
@@ -12,6 +12,9 @@
     pub expiry_ratio: f64,
     /// Lower bounds of the temporal cost buckets, as ratios to the first class bound.
     pub las_buckets: Vec<f64>,
+    /// Whether among recycling workers of a higher class the nearer class goes before temporal
+    /// cost (the order of the paper), or all of them rank alike and temporal cost decides.
+    pub near_recycling_first: bool,
     /// Time between two repredictions of a worker's tasks, as a ratio to the first class bound.
     pub repredict_ratio: f64,
     /// Most the start of a task may be taken to lie behind its intent, as a ratio to the first class bound.
@@ -44,6 +47,7 @@
             fill_threshold: 0.9,
             expiry_ratio: 1.1,
             las_buckets: vec![0.0, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0, 12.0, 24.0, 168.0],
+            near_recycling_first: true,
             repredict_ratio: 0.1,
             late_start_ratio: 0.1,
             cold_class: 2,
@@ -80,7 +84,11 @@
 
     /// Temporal cost: the bucket that a prolongation of a worker's exit falls into.
     pub fn temporal_cost(&self, delta: Millis) -> u8 {
-        let below = self.las_buckets.iter().take_while(|r| self.span_ms(**r) <= delta).count();
+        let below = self
+            .las_buckets
+            .iter()
+            .take_while(|r| self.span_ms(**r) <= delta)
+            .count();
         below.saturating_sub(1) as u8
     }
 }
--- a/crates/lifetime-placement/src/replay.rs
+++ b/crates/lifetime-placement/src/replay.rs
@@ -69,7 +69,12 @@
     }
 
     fn end_until(&mut self, now: Millis, warm: Millis) -> Result<(), PlacementError> {
-        while let Some(Reverse((at, key, worker))) = self.ends.peek().copied().filter(|Reverse((at, ..))| *at <= now) {
+        while let Some(Reverse((at, key, worker))) = self
+            .ends
+            .peek()
+            .copied()
+            .filter(|Reverse((at, ..))| *at <= now)
+        {
             self.ends.pop();
             self.end_of.remove(&key);
             let outcome = match self.until_cancelled.remove(&key) {
@@ -78,7 +83,9 @@
             };
             self.fleet.task_ended(at, worker, key, outcome)?;
             for _ in 0..self.waiting.len().min(Self::TRIES) {
-                let Some(arrival) = self.waiting.pop_front() else { break };
+                let Some(arrival) = self.waiting.pop_front() else {
+                    break;
+                };
                 if !self.place(arrival, at, warm)? {
                     self.waiting.push_back(arrival);
                 }
@@ -88,7 +95,12 @@
         Ok(())
     }
 
-    fn place(&mut self, arrival: &TraceArrival, now: Millis, warm: Millis) -> Result<bool, PlacementError> {
+    fn place(
+        &mut self,
+        arrival: &TraceArrival,
+        now: Millis,
+        warm: Millis,
+    ) -> Result<bool, PlacementError> {
         let places = match arrival.tasks.as_slice() {
             [(task, _)] => self.fleet.assign(now, task, |_| true).map(|w| vec![w]),
             gang => {
@@ -96,9 +108,15 @@
                 self.fleet.gang_assign(now, &gang, |_, _| true)
             }
         };
-        let Some(places) = places else { return Ok(false) };
+        let Some(places) = places else {
+            return Ok(false);
+        };
         for ((task, lifetime), worker) in arrival.tasks.iter().zip(places) {
-            self.opened += u64::from(self.fleet.worker(worker).is_some_and(|w| w.tasks().is_empty()));
+            self.opened += u64::from(
+                self.fleet
+                    .worker(worker)
+                    .is_some_and(|w| w.tasks().is_empty()),
+            );
             self.fleet.task_placed(now, worker, task)?;
             self.ends.push(Reverse((now + lifetime, task.key, worker)));
             self.end_of.insert(task.key, now + lifetime);
@@ -122,8 +140,15 @@
         for (_, w) in self.fleet.workers() {
             empty += f64::from(u8::from(w.tasks().is_empty()));
             tasks += w.tasks().len() as f64;
-            let own = w.tasks().keys().filter(|k| !self.until_cancelled.contains(k));
-            let last = own.filter_map(|k| self.end_of.get(k)).max().copied().unwrap_or(now);
+            let own = w
+                .tasks()
+                .keys()
+                .filter(|k| !self.until_cancelled.contains(k));
+            let last = own
+                .filter_map(|k| self.end_of.get(k))
+                .max()
+                .copied()
+                .unwrap_or(now);
             drain += last.saturating_sub(now) as f64 / 1e3;
             used = used.add(w.used());
             whole = whole.add(w.room());
@@ -157,7 +182,8 @@
         ] {
             *sum /= self.samples.max(1.0);
         }
-        let mean = |(number, sum, _): (u64, Millis, Millis)| sum as f64 / 1e3 / number.max(1) as f64;
+        let mean =
+            |(number, sum, _): (u64, Millis, Millis)| sum as f64 / 1e3 / number.max(1) as f64;
         let [gangs, singles] = self.waits;
         r.gang_wait_s = mean(gangs);
         r.gang_wait_most_s = gangs.2 as f64 / 1e3;
--- a/crates/lifetime-placement/src/room.rs
+++ b/crates/lifetime-placement/src/room.rs
@@ -10,7 +10,19 @@
 /// assert_eq!(worker.sub(task).add(task), worker);
 /// ```
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Encode,
+    Decode,
+    Serialize,
+    Deserialize,
 )]
 pub struct Room {
     /// Thousandths of a core.
@@ -24,7 +36,10 @@
 impl Room {
     /// A room of so many thousandths of a core and megabytes.
     pub const fn new(cpu_millis: u64, memory_mb: u64) -> Self {
-        Self { cpu_millis, memory_mb }
+        Self {
+            cpu_millis,
+            memory_mb,
+        }
     }
 
     /// Sum of two rooms.
@@ -51,8 +66,13 @@
     /// Share of `whole` in each dimension, in millionths; an empty dimension counts as full.
     pub fn shares_ppm(self, whole: Self) -> (u64, u64) {
         let share = |part: u64, whole: u64| {
-            part.saturating_mul(1_000_000).checked_div(whole).unwrap_or(1_000_000)
+            part.saturating_mul(1_000_000)
+                .checked_div(whole)
+                .unwrap_or(1_000_000)
         };
-        (share(self.cpu_millis, whole.cpu_millis), share(self.memory_mb, whole.memory_mb))
+        (
+            share(self.cpu_millis, whole.cpu_millis),
+            share(self.memory_mb, whole.memory_mb),
+        )
     }
 }
--- a/crates/lifetime-placement/src/trace.rs
+++ b/crates/lifetime-placement/src/trace.rs
@@ -25,7 +25,9 @@
         // Mean demand of one arrival, as a share of the fleet for one first class bound.
         let whole = (shape.room.cpu_millis as f64, shape.room.memory_mb as f64);
         let demand = |part: fn(Room) -> u64, whole: f64| -> f64 {
-            let one = |k: &TraceKind| k.weight / weights * k.mean() * f64::from(k.gang) * part(k.room) as f64;
+            let one = |k: &TraceKind| {
+                k.weight / weights * k.mean() * f64::from(k.gang) * part(k.room) as f64
+            };
             TraceKind::MIX.iter().map(one).sum::<f64>() / (whole * f64::from(shape.workers))
         };
         let tighter = demand(|r| r.cpu_millis, whole.0).max(demand(|r| r.memory_mb, whole.1));
@@ -44,17 +46,28 @@
                 at -= k.weight;
                 at < 0.0
             });
-            let Some((kind, number)) = found else { continue };
+            let Some((kind, number)) = found else {
+                continue;
+            };
             let lifetime = ((kind.draw(&mut rng) * first_bound as f64) as Millis).max(1);
             let tasks = (0..kind.gang)
                 .map(|_| {
                     key += 1;
-                    (TaskToPlace::new(key, kind.queue, number, kind.room, kind.until_cancelled), lifetime)
+                    (
+                        TaskToPlace::new(key, kind.queue, number, kind.room, kind.until_cancelled),
+                        lifetime,
+                    )
                 })
                 .collect();
-            arrivals.push(TraceArrival { at: (t * first_bound as f64) as Millis, tasks });
+            arrivals.push(TraceArrival {
+                at: (t * first_bound as f64) as Millis,
+                tasks,
+            });
+        }
+        Self {
+            arrivals,
+            length: (shape.length * first_bound as f64) as Millis,
         }
-        Self { arrivals, length: (shape.length * first_bound as f64) as Millis }
     }
 
     /// All tasks with their true lifetimes.
@@ -71,10 +84,12 @@
     pub fn mistaken<P>(&self, inner: P, share: f64, seed: u64) -> Mistaken<P> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let all: Vec<TaskFeatures> = self.tasks().map(|(t, _)| t.features).collect();
-        let taken = all
-            .iter()
-            .filter_map(|f| (rng.random::<f64>() < share).then(|| (f.task, all[rng.random_range(0..all.len())])))
-            .collect();
+        let mut taken = BTreeMap::new();
+        for f in &all {
+            if rng.random::<f64>() < share {
+                taken.insert(f.task, all[rng.random_range(0..all.len())]);
+            }
+        }
         Mistaken::new(inner, taken)
     }
 }
--- a/crates/lifetime-placement/src/worker_band.rs
+++ b/crates/lifetime-placement/src/worker_band.rs
@@ -38,7 +38,9 @@
         task_class: LifetimeClass,
         tasks: impl Fn() -> BTreeSet<TaskKey>,
     ) {
-        let Some((next, effects)) = chart.next(self.state, event) else { return };
+        let Some((next, effects)) = chart.next(self.state, event) else {
+            return;
+        };
         self.state = next;
         for effect in effects {
             match effect {
--- a/crates/lifetime-placement/src/worker_band_state.rs
+++ b/crates/lifetime-placement/src/worker_band_state.rs
@@ -2,7 +2,19 @@
 
 /// State of a worker's band.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Encode,
+    Decode,
+    Serialize,
+    Deserialize,
 )]
 #[cbor(index_only)]
 #[serde(rename_all = "snake_case")]
--- a/crates/replicated-log/src/log_tail.rs
+++ b/crates/replicated-log/src/log_tail.rs
@@ -13,7 +13,13 @@
 impl LogTail {
     /// An empty tail after a base.
     pub fn new(base_index: Index, base_term: Term, base_log_time: Millis) -> Self {
-        Self { base_index, base_term, base_log_time, entries: VecDeque::new(), bytes: 0 }
+        Self {
+            base_index,
+            base_term,
+            base_log_time,
+            entries: VecDeque::new(),
+            bytes: 0,
+        }
     }
 
     /// Last compacted index.
@@ -33,7 +39,9 @@
 
     /// Cluster clock at the last index.
     pub fn last_log_time(&self) -> Millis {
-        self.entries.back().map_or(self.base_log_time, |e| e.log_time)
+        self.entries
+            .back()
+            .map_or(self.base_log_time, |e| e.log_time)
     }
 
     /// Rough bytes held.
@@ -66,7 +74,9 @@
     pub fn truncate_from(&mut self, index: Index) -> u64 {
         let mut dropped = 0;
         while self.last_index() >= index {
-            let Some(entry) = self.entries.pop_back() else { break };
+            let Some(entry) = self.entries.pop_back() else {
+                break;
+            };
             self.bytes -= entry.size();
             dropped += 1;
         }
@@ -76,7 +86,9 @@
     /// Drops entries up to and with an index that is held.
     pub fn compact_to(&mut self, index: Index) {
         while self.base_index < index {
-            let Some(entry) = self.entries.pop_front() else { break };
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
             self.bytes -= entry.size();
             self.base_index = entry.index;
             self.base_term = entry.term;
--- a/crates/replicated-log/src/member_address.rs
+++ b/crates/replicated-log/src/member_address.rs
@@ -14,6 +14,9 @@
 impl MemberAddress {
     /// An address in a site.
     pub fn new(endpoint: impl Into<String>, site: impl Into<String>) -> Self {
-        Self { endpoint: endpoint.into(), site: site.into() }
+        Self {
+            endpoint: endpoint.into(),
+            site: site.into(),
+        }
     }
 }
--- a/crates/replicated-log/src/memory_log_storage.rs
+++ b/crates/replicated-log/src/memory_log_storage.rs
@@ -21,7 +21,10 @@
 impl MemoryLogStorage {
     /// A storage that holds a state.
     pub fn new(state: RestoredState) -> Self {
-        Self { synced: state, ..Self::default() }
+        Self {
+            synced: state,
+            ..Self::default()
+        }
     }
 
     /// Takes a write without syncing it.
@@ -43,7 +46,9 @@
     pub fn sync_some(&mut self, count: usize) -> Option<Ticket> {
         let mut last = None;
         for _ in 0..min(count, self.unsynced.len()) {
-            let Some(request) = self.unsynced.pop_front() else { break };
+            let Some(request) = self.unsynced.pop_front() else {
+                break;
+            };
             last = Some(request.ticket);
             apply(&mut self.synced, request);
         }
--- a/crates/replicated-log/src/replica_replication.rs
+++ b/crates/replicated-log/src/replica_replication.rs
@@ -8,7 +8,12 @@
         let first = u64::from(self.log.last_term() != self.term);
         let log_time = max(self.log_time(self.now), self.log.last_log_time() + first);
         let index = self.log.last_index() + 1;
-        let entry = LogEntry { term: self.term, index, log_time, body };
+        let entry = LogEntry {
+            term: self.term,
+            index,
+            log_time,
+            body,
+        };
         self.uncommitted_bytes += entry.size();
         if self.append_entry(entry) {
             self.sync_progress();
@@ -61,7 +66,12 @@
         match_index: Index,
         conflict: Option<ConflictHint>,
     ) {
-        let ack = AppendAck { sent_at, match_index, conflict, wall_ms: self.own_wall() };
+        let ack = AppendAck {
+            sent_at,
+            match_index,
+            conflict,
+            wall_ms: self.own_wall(),
+        };
         self.send(to, gate, MessageBody::AppendAck(ack));
     }
 
@@ -69,8 +79,17 @@
         if !self.heed(from) {
             return;
         }
-        let Append { mut prev_index, mut prev_term, commit, sent_at, mut entries } = append;
-        let numbered = entries.iter().zip(prev_index + 1..).all(|(e, index)| e.index == index);
+        let Append {
+            mut prev_index,
+            mut prev_term,
+            commit,
+            sent_at,
+            mut entries,
+        } = append;
+        let numbered = entries
+            .iter()
+            .zip(prev_index + 1..)
+            .all(|(e, index)| e.index == index);
         if !numbered {
             self.counters.malformed += 1;
             return;
@@ -93,7 +112,11 @@
                 Some(_) => self.log.first_of_term(prev_index),
                 None => self.log.last_index() + 1,
             };
-            let hint = ConflictHint { prev_index, term: own_term, index };
+            let hint = ConflictHint {
+                prev_index,
+                term: own_term,
+                index,
+            };
             self.acknowledge(from, Gate::HardState, sent_at, 0, Some(hint));
             return;
         }
@@ -134,7 +157,9 @@
 
     pub(crate) fn on_append_ack(&mut self, from: NodeId, ack: AppendAck) {
         let (now, last) = (self.now, self.log.last_index());
-        let Some(progress) = self.progress.get_mut(&from) else { return };
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
         progress.heard(now, ack.sent_at, ack.wall_ms);
         if let Some(hint) = ack.conflict {
             let stale = match progress.pace {
@@ -165,7 +190,9 @@
             Pace::Snapshot { snapshot, .. } => progress.match_index >= snapshot.index,
         };
         if arrived {
-            progress.pace = Pace::Pipeline { inflight: VecDeque::new() };
+            progress.pace = Pace::Pipeline {
+                inflight: VecDeque::new(),
+            };
         }
     }
 
@@ -177,7 +204,10 @@
         };
         let mut matches: Vec<_> = self.membership().voters.keys().map(matched).collect();
         matches.sort_unstable_by(|a, b| b.cmp(a));
-        let index = matches.get(self.membership().quorum() - 1).copied().unwrap_or(0);
+        let index = matches
+            .get(self.membership().quorum() - 1)
+            .copied()
+            .unwrap_or(0);
         if index > self.commit && self.log.term_at(index) == Some(self.term) {
             self.commit_to(index);
         }
@@ -187,7 +217,9 @@
     pub(crate) fn feed_members(&mut self) {
         let ids: Vec<_> = self.progress.keys().copied().collect();
         for id in ids {
-            let Some(mut progress) = self.progress.remove(&id) else { continue };
+            let Some(mut progress) = self.progress.remove(&id) else {
+                continue;
+            };
             self.feed(id, &mut progress);
             self.progress.insert(id, progress);
         }
@@ -197,14 +229,23 @@
         let beat = self.now >= progress.last_sent_at + self.settings.heartbeat_ms;
         let lacks = match &progress.pace {
             // Nothing of it arrived yet: a newer one is as good.
-            Pace::Snapshot { snapshot, offset: 0, .. } => {
-                self.snapshot.as_ref().is_some_and(|s| s.index > snapshot.index)
-            }
+            Pace::Snapshot {
+                snapshot,
+                offset: 0,
+                ..
+            } => self
+                .snapshot
+                .as_ref()
+                .is_some_and(|s| s.index > snapshot.index),
             Pace::Snapshot { .. } => false,
             _ => self.log.term_at(progress.next_index - 1).is_none(),
         };
         if lacks && let Some(snapshot) = self.snapshot.clone() {
-            progress.pace = Pace::Snapshot { snapshot, offset: 0, waiting: false };
+            progress.pace = Pace::Snapshot {
+                snapshot,
+                offset: 0,
+                waiting: false,
+            };
         }
         let (last, limit) = (self.log.last_index(), self.settings.max_inflight_batches);
         match &mut progress.pace {
@@ -252,7 +293,13 @@
         let (commit, sent_at) = (self.commit, self.now);
         progress.commit_sent = commit;
         progress.last_sent_at = self.now;
-        let append = Append { prev_index, prev_term, commit, sent_at, entries };
+        let append = Append {
+            prev_index,
+            prev_term,
+            commit,
+            sent_at,
+            entries,
+        };
         self.send(id, Gate::HardState, MessageBody::Append(append));
         last
     }
--- a/crates/replicated-log/src/stored_record.rs
+++ b/crates/replicated-log/src/stored_record.rs
@@ -42,11 +42,19 @@
         let found = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
         let computed = Self::checksum(bytes);
         let sound = found == computed;
-        ensure!(sound, crate::storage_error::BadChecksumSnafu { found, computed });
+        ensure!(
+            sound,
+            crate::storage_error::BadChecksumSnafu { found, computed }
+        );
         let mut decoder = minicbor::Decoder::new(rest);
-        let value = decoder.decode().context(crate::storage_error::MalformedSnafu)?;
+        let value = decoder
+            .decode()
+            .context(crate::storage_error::MalformedSnafu)?;
         let count = rest.len() - decoder.position();
-        ensure!(count == 0, crate::storage_error::TrailingBytesSnafu { count });
+        ensure!(
+            count == 0,
+            crate::storage_error::TrailingBytesSnafu { count }
+        );
         Ok(value)
     }
 
--- a/crates/replicated-log/tests/support/mod.rs
+++ b/crates/replicated-log/tests/support/mod.rs
@@ -4,4 +4,5 @@
 pub mod chaos;
 pub mod checker;
 pub mod node;
+pub mod prelude;
 pub mod world;
--- a/crates/scheduler-core/src/command.rs
+++ b/crates/scheduler-core/src/command.rs
@@ -81,15 +81,8 @@
         #[n(1)]
         gang: bool,
     },
-    /// Cluster wall clock: Unix milliseconds at cluster time 0.
-    #[n(11)]
-    AnchorClock {
-        /// It moves forward only.
-        #[n(0)]
-        unix_at_zero_ms: u64,
-    },
     /// Nothing but the passing of time.
-    #[n(12)]
+    #[n(11)]
     Advance,
 }
 
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -51,6 +51,4 @@
     ConfigurationChanged { version: u64, at: Millis },
     /// A zone is evacuated, or used again.
     ZoneEvacuated { zone: Name, on: bool, order_id: String, at: Millis },
-    /// The cluster wall clock moved.
-    ClockAnchored { unix_at_zero_ms: u64 },
 }
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -79,7 +79,6 @@
                     self.tables.orders.pop_front();
                 }
             }
-            Event::ClockAnchored { unix_at_zero_ms } => self.tables.unix_at_zero_ms = Some(*unix_at_zero_ms),
         }
     }
 
@@ -338,7 +337,6 @@
                 let z = self.zone_room.entry(w.told.zone.clone()).or_default();
                 *z = (z.0.sub(w.room()), z.1.sub(w.used));
                 w.told = told.clone();
-                w.reachable = true;
             }
         }
         let w = &self.tables.workers[&worker];
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -82,12 +82,6 @@
                 self.start(term, &starts, gang);
                 None
             }
-            Command::AnchorClock { unix_at_zero_ms } => {
-                if self.state.tables.unix_at_zero_ms.is_none_or(|u| u < unix_at_zero_ms) {
-                    self.emit(Event::ClockAnchored { unix_at_zero_ms });
-                }
-                None
-            }
             Command::Advance => None,
         }
     }
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -17,10 +17,9 @@
         ensure!(same_place || !busy, call_error::not_allowed(&name, "zone, service or kind can't change while tasks are on it"));
         ensure!(!w.old_boots.contains(&told.boot_id), call_error::not_allowed(&name, "that boot is over"));
         let reborn = w.told.boot_id != told.boot_id;
-        if reborn {
-            self.reborn(i, &told.boot_id);
-        }
-        if self.state.tables.workers[&i].told != told {
+        // A registration may come late: that a boot has followed another is proven by its hold answers alone.
+        let told = RegisterWorker { boot_id: w.told.boot_id.clone(), ..told };
+        if w.told != told {
             self.emit(Event::WorkerKnown { worker: i, told });
         }
         self.share_workers();
@@ -50,16 +49,17 @@
     /// What a gateway learned from a worker. Each line is checked against the one attempt that is out.
     pub(crate) fn facts(&mut self, f: &WorkerFacts) {
         let Some((i, w)) = self.state.worker(&f.worker) else { return };
-        let old = w.old_boots.contains(&f.boot_id);
-        if w.told.boot_id != f.boot_id && !old {
+        let mut old = w.told.boot_id != f.boot_id;
+        if old && !w.old_boots.contains(&f.boot_id) && f.follows.as_ref() == Some(&w.told.boot_id) {
             self.reborn(i, &f.boot_id);
+            old = false;
         }
         let at = self.now();
         for e in &f.ended {
             self.ended(i, e);
         }
         if old {
-            // A boot that is over can still tell of ends; what it says of starts and voids proves nothing any more.
+            // A boot that is over, or not known to follow, can tell of ends; its starts and voids prove nothing.
             return;
         }
         for &a in &f.started {
--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -25,6 +25,7 @@
 mod scheduler_members;
 mod scheduler_settings;
 mod start_planner;
+mod steady_clock;
 mod tables;
 mod task_state;
 mod view_builder;
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -51,6 +51,7 @@
 pub use crate::scheduler_members::PeerMember;
 pub use crate::scheduler_settings::SchedulerSettings;
 pub use crate::start_planner::{PlannedStarts, StartPlanner};
+pub use crate::steady_clock::SteadyClock;
 pub use crate::tables::Tables;
 pub use crate::task_state::{TaskEvent, TaskState, task_chart};
 pub use crate::worker_health::WorkerHealth;
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -34,6 +34,7 @@
     pub(crate) repaired_at: Millis,
     pub(crate) led_since: Millis,
     pub(crate) seed: u64,
+    wall: SteadyClock,
     effects: Vec<SchedulerEffect>,
     /// What was counted, for the metrics page.
     pub counters: SchedulerCounters,
@@ -101,6 +102,7 @@
             repaired_at: now,
             led_since: now,
             seed,
+            wall: SteadyClock::default(),
             effects: Vec::new(),
             counters: SchedulerCounters::default(),
         })
@@ -125,6 +127,7 @@
     pub fn step(&mut self, now: Millis, input: SchedulerInput) -> Vec<SchedulerEffect> {
         match input {
             SchedulerInput::Tick { wall_ms } => {
+                let wall_ms = self.wall.read(now, wall_ms);
                 self.drive(now, Input::Tick { wall_ms });
                 self.tick(now);
             }
@@ -384,7 +387,7 @@
                 self.answer(w, Ok(a));
             }
             body => {
-                let wall = self.ledger.state.tables.unix_at_zero_ms.map(|u| u + self.replica.log_time(now));
+                let wall = self.replica.wall_clock_floor(now);
                 match CallDecision::of(&self.ledger.state, body, wall) {
                     CallDecision::Answer(a) => self.answer(w, a),
                     CallDecision::Propose(c) => self.propose(c, Some(w)),
@@ -414,15 +417,6 @@
         if self.inbox.is_empty() && self.flights.is_empty() && self.ledger.has_due(self.replica.log_time(now)) {
             self.propose(Command::Advance, None);
         }
-        if let Some(floor) = self.replica.wall_clock_floor(now) {
-            let unix_at_zero_ms = floor.saturating_sub(self.replica.log_time(now));
-            let known = self.ledger.state.tables.unix_at_zero_ms;
-            let slack = self.settings.hold_interval_ms;
-            let ahead = known.is_none_or(|k| unix_at_zero_ms > k + slack);
-            if ahead && !self.inbox.iter().any(|c| matches!(c.0, Command::AnchorClock { .. })) && self.flights.is_empty() {
-                self.propose(Command::AnchorClock { unix_at_zero_ms }, None);
-            }
-        }
         self.repair(now);
     }
 
--- a/crates/scheduler-core/src/scheduler_members.rs
+++ b/crates/scheduler-core/src/scheduler_members.rs
@@ -109,7 +109,9 @@
             let Some((i, p)) = peer else { return };
             voters.push((*i, MemberAddress::new(p.address.clone(), p.zone.clone())));
         }
-        let founding = RestoredState::founding(Membership::of_voters(voters));
+        // As the first entry, so that the other founders get it as they get every entry.
+        let body = LogEntryBody::Membership(Membership::of_voters(voters));
+        let founding = RestoredState { entries: vec![LogEntry { term: 0, index: 1, log_time: 0, body }], ..RestoredState::joining() };
         // Ordered before all later writes, so that nothing leaves that a restart would not remember.
         self.persist(founding.as_request());
         let random = ChaCha8Rng::seed_from_u64(self.seed);
--- a/crates/scheduler-core/src/tables.rs
+++ b/crates/scheduler-core/src/tables.rs
@@ -42,14 +42,11 @@
     /// Attempts that run though the log gave them up.
     #[n(12)]
     pub orphans: BTreeSet<(WorkerIndex, AttemptId)>,
-    /// Unix milliseconds at cluster time 0.
-    #[n(13)]
-    pub unix_at_zero_ms: Option<u64>,
     /// When each kept configuration version came.
-    #[n(14)]
+    #[n(13)]
     pub configuration_times: BTreeMap<u64, Millis>,
     /// Failed and good attempts of all workers, aged: (good, bad).
-    #[n(15)]
+    #[n(14)]
     pub fleet_health: (f64, f64),
 }
 
@@ -70,7 +67,6 @@
             evacuated: BTreeSet::new(),
             orders: VecDeque::new(),
             orphans: BTreeSet::new(),
-            unix_at_zero_ms: None,
             configuration_times: BTreeMap::new(),
             fleet_health: (0.0, 0.0),
         }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -53,7 +53,7 @@
                 Event::OrphanSeen { worker, attempt } => {
                     orphans.insert((*worker, *attempt));
                 }
-                Event::OrphanGone { .. } | Event::GatewayAttached { .. } | Event::GatewayLost { .. } | Event::ClockAnchored { .. } => {}
+                Event::OrphanGone { .. } | Event::GatewayAttached { .. } | Event::GatewayLost { .. } => {}
                 Event::WorkerGone { name, .. } => u.workers_removed.push(name.clone()),
                 Event::ConfigurationChanged { .. } => {}
                 Event::ZoneEvacuated { .. } => u.evacuated_zones = Some(s.tables.evacuated.iter().cloned().collect()),
--- /dev/null
+++ b/crates/worker-stand-in/src/worker_effect.rs
@@ -0,0 +1,26 @@
+use crate::prelude::*;
+
+/// The answer to an order.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum WorkerAnswer {
+    /// To a start.
+    Start(StartAnswer),
+    /// To a stop.
+    Stop(StopAnswer),
+    /// To a hold.
+    Hold(HoldAnswer),
+}
+
+/// What comes of a step, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WorkerEffect {
+    /// Answer the order.
+    Answer { token: Token, answer: WorkerAnswer },
+    /// The order will never be answered.
+    Silence { token: Token },
+    /// Send `POST /v1/workers` to a gateway, and tell whether it was answered.
+    Register(RegisterWorker),
+    /// Seen from outside.
+    Observe(Observation),
+}
