Let another gateway try a worker that its own can't reach

Cause: a gateway cut off from its workers noticed it by a hold that a worker may keep for 5 s, twice; until then tasks were intended for them, and afterwards the workers stayed with it though others could reach them. Ruled out: placement (it avoids such workers as soon as it is told). Change: two orders in a row without an answer count as out of reach, as two holds do; on that word the worker goes to another gateway, of its zone first. If that one gets no answer either, it keeps the worker.

--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -422,6 +422,17 @@
         }
     }
 
+    /// A start or a stop is over, with an answer or without.
+    fn order_over(&mut self, worker: &str, answered: bool) {
+        let Some(h) = self.share.get_mut(worker) else { return };
+        if answered {
+            h.order_answered();
+        } else if h.order_error() {
+            let boot = h.boot().to_owned();
+            self.facts.line(worker, &boot).reachable = Some(false);
+        }
+    }
+
     /// What came of a start.
     fn start_answered(&mut self, a: AttemptId, reply: Reply<StartAnswer>) {
         let (event, boot) = match &reply {
@@ -433,6 +444,9 @@
                 (None, None)
             }
         };
+        if let Some(worker) = self.starts.worker(a) {
+            self.order_over(&worker, !matches!(reply, Reply::Unknown));
+        }
         let Some(worker) = self.starts.answered(a, event) else { return };
         let Some(known) = self.share.boot(&worker) else { return };
         if boot.is_some_and(|b| b != known) {
@@ -453,6 +467,7 @@
     /// What came of a stop.
     fn stop_answered(&mut self, a: AttemptId, worker: &str, reply: Reply<StopAnswer>) {
         let known = self.share.boot(worker);
+        self.order_over(worker, !matches!(reply, Reply::Unknown));
         let Some(r) = reply.answer().filter(|r| r.attempt == a && known.as_ref() == Some(&r.boot_id)) else {
             self.stops.again(self.now, &self.settings, a, &mut self.rng);
             return;
--- a/crates/gateway-core/src/start_book.rs
+++ b/crates/gateway-core/src/start_book.rs
@@ -99,6 +99,11 @@
         dropped
     }
 
+    /// The worker of a start that is known.
+    pub fn worker(&self, a: AttemptId) -> Option<Name> {
+        self.records.get(&a).map(|r| r.worker.clone())
+    }
+
     /// The executor is done with a start: its worker, if it is known as sent.
     pub fn answered(&mut self, a: AttemptId, event: Option<OrderEvent>) -> Option<Name> {
         if !self.out.remove(&a) {
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -41,6 +41,8 @@
     open: Option<OpenHold>,
     next_at: Millis,
     errors: u32,
+    /// Orders without an answer since the worker last gave one.
+    silent_orders: u32,
     listed: BTreeSet<AttemptId>,
     proven: BTreeMap<AttemptId, u64>,
     ended: BTreeMap<AttemptId, bool>,
@@ -66,6 +68,7 @@
             open: None,
             next_at: 0,
             errors: 0,
+            silent_orders: 0,
             listed: BTreeSet::new(),
             proven: BTreeMap::new(),
             ended: BTreeMap::new(),
@@ -94,6 +97,7 @@
         if mine && !self.mine {
             self.next_at = now;
             self.errors = 0;
+            self.silent_orders = 0;
             self.reachable = w.reachable;
         }
         if !mine && self.mine {
@@ -212,6 +216,22 @@
         lost
     }
 
+    /// A start or a stop was answered.
+    pub fn order_answered(&mut self) {
+        self.silent_orders = 0;
+    }
+
+    /// A start or a stop got no answer. True when the worker now counts as out of reach: a hold that it may keep for long
+    /// would tell so much later.
+    pub fn order_error(&mut self) -> bool {
+        self.silent_orders = self.silent_orders.saturating_add(1);
+        let lost = self.mine && self.reachable && self.silent_orders >= ERRORS;
+        if lost {
+            self.reachable = false;
+        }
+        lost
+    }
+
     /// Compares an answer with what is known and adds what it proves; false when it is older than that.
     pub fn answer(&mut self, step: u64, a: &HoldAnswer, line: &mut FactLine) -> bool {
         let Some(open) = self.open.take() else { return false };
@@ -219,6 +239,7 @@
             return true;
         }
         self.errors = 0;
+        self.silent_orders = 0;
         let mut asked_seen = open.order.seen;
         if a.boot_id != self.boot && open.step < self.boot_step {
             // This hold left before the newest boot was known: an answer of another boot is an older one's.
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -98,6 +98,9 @@
         }
         if let Some(reachable) = f.reachable.filter(|r| *r != self.state.tables.workers[&i].reachable) {
             self.emit(Event::WorkerReachable { worker: i, reachable });
+            if !reachable {
+                self.try_another_gateway(i);
+            }
         }
     }
 
@@ -210,6 +213,22 @@
         Ok(ZoneEvacuated { zone: e.zone.clone(), on: e.on, already: false, attempts: in_zone(self).len() as u32 })
     }
 
+    /// A worker's gateway gets no answer from it. Perhaps it is the gateway that is cut off: another one of the zone, else
+    /// of any, takes the worker over and finds out. If that one gets no answer either, the worker stays with it.
+    fn try_another_gateway(&mut self, worker: WorkerIndex) {
+        let s = &self.state.tables;
+        let Some(w) = s.workers.get(&worker) else { return };
+        let mut load: BTreeMap<&Name, usize> = BTreeMap::new();
+        for g in s.workers.values().filter_map(|w| w.gateway.as_ref()) {
+            *load.entry(g).or_default() += 1;
+        }
+        let others = s.gateways.iter().filter(|(n, g)| g.alive && w.gateway.as_ref() != Some(*n));
+        let best = others.min_by_key(|(n, g)| (g.zone != w.told.zone, load.get(n).copied().unwrap_or(0), *n));
+        if let Some(name) = best.map(|(n, _)| n.clone()) {
+            self.emit(Event::WorkerShared { worker, gateway: Some(name) });
+        }
+    }
+
     /// A gateway attached.
     pub(crate) fn gateway_attached(&mut self, name: Name, record: GatewayRecord) {
         if self.state.tables.gateways.get(&name) != Some(&record) {
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -429,3 +429,23 @@
     let state = ClusterState::from_bytes(&b.ledger.state.to_bytes()).unwrap();
     assert_eq!(state.tables.rules, b.ledger.state.tables.rules);
 }
+
+/// Found by the simulator (gateway-cut-from-workers): urgent tasks waited up to 10.6 s behind a gateway that was cut off from
+/// its workers while others could reach them.
+#[test]
+fn a_worker_out_of_its_gateways_reach_is_tried_by_another() {
+    let mut b = Bench::new(1);
+    b.one(Command::GatewayAttached { name: "g2".into(), instance: 8, zone: "z1".into(), http_address: "b".into() });
+    let gateway = |b: &Bench| b.ledger.state.tables.workers[&0].gateway.clone().unwrap();
+    let first = gateway(&b);
+    b.facts("w0", "b1", |f| f.reachable = Some(false));
+    let second = gateway(&b);
+    assert_ne!(first, second);
+    b.submit(job("j", 1));
+    assert!(b.plan().is_empty(), "nothing is intended for a worker out of reach");
+    // The second gets no answer either: it has nothing new to tell, and keeps it.
+    b.facts("w0", "b1", |f| f.reachable = Some(false));
+    assert_eq!(gateway(&b), second);
+    b.facts("w0", "b1", |f| f.reachable = Some(true));
+    assert_eq!(b.plan().len(), 1);
+}
