--- a/crates/scheduler-core/src/cluster_state.rs
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -65,6 +65,9 @@
     /// Its configuration can't be used.
     #[snafu(display("configuration: {source}"))]
     Configuration { source: SnapshotError },
+    /// Its bytes are not those that were written.
+    #[snafu(display("snapshot is damaged"))]
+    Damaged,
     /// Another version of the format.
     #[snafu(display("snapshot version {found}, {SNAPSHOT_VERSION} wanted"))]
     Version { found: u8 },
@@ -73,6 +76,9 @@
 /// Doublings of the patience with a task that stalls, at most.
 const MOST_STALLS: u8 = 16;
 
+/// Bytes of the check in front of a snapshot's body.
+const CHECK_BYTES: usize = 8;
+
 /// Version of a snapshot's bytes.
 pub const SNAPSHOT_VERSION: u8 = 1;
 
@@ -113,10 +119,14 @@
 
     /// Encodes a snapshot.
     pub fn to_bytes(&self) -> Vec<u8> {
-        let mut v = vec![SNAPSHOT_VERSION];
+        let mut body = Vec::new();
         let parts = (&self.tables, minicbor::bytes::ByteVec::from(self.configuration.encode()), minicbor::bytes::ByteVec::from(self.bands.encode()));
         // Writing into a Vec can't fail.
-        let _ = minicbor::encode(parts, &mut v);
+        let _ = minicbor::encode(parts, &mut body);
+        let mut v = Vec::with_capacity(1 + CHECK_BYTES + body.len());
+        v.push(SNAPSHOT_VERSION);
+        v.extend_from_slice(&Sha256::digest(&body)[..CHECK_BYTES]);
+        v.extend_from_slice(&body);
         v
     }
 
@@ -132,6 +142,8 @@
     pub fn from_bytes(b: &[u8]) -> Result<Self, StateError> {
         let (&found, rest) = b.split_first().unwrap_or((&0, &[]));
         ensure!(found == SNAPSHOT_VERSION, VersionSnafu { found });
+        let (check, rest) = rest.split_at_checked(CHECK_BYTES).context(DamagedSnafu)?;
+        ensure!(Sha256::digest(rest)[..CHECK_BYTES] == *check, DamagedSnafu);
         let (tables, c, p): (Tables, minicbor::bytes::ByteVec, minicbor::bytes::ByteVec) =
             minicbor::decode(rest).context(DecodingSnafu)?;
         let configuration = ConfigurationHistory::decode(&c, ConfigurationSettings::default()).context(ConfigurationSnafu)?;
--- a/crates/scheduler-core/src/job.rs
+++ b/crates/scheduler-core/src/job.rs
@@ -74,7 +74,7 @@
 
     /// How many could start now.
     pub fn waiting_count(&self) -> u32 {
-        self.again.len() as u32 + (self.tasks.len() as u32 - self.fresh)
+        self.again.len() as u32 + (self.tasks.len() as u32).saturating_sub(self.fresh)
     }
 }
 
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -30,7 +30,7 @@
 };
 pub use serde::Deserialize;
 pub use sha2::{Digest, Sha256};
-pub use snafu::{ResultExt, Snafu, ensure};
+pub use snafu::{OptionExt, ResultExt, Snafu, ensure};
 pub use state_chart::Chart;
 
 pub use crate::attempt::{Attempt, StopReason};
