--- a/crates/fleet-emulator/src/bin/fleet.rs
+++ b/crates/fleet-emulator/src/bin/fleet.rs
@@ -13,6 +13,7 @@
             ExitCode::SUCCESS
         }
         Ok(FleetCommand::Scenarios) => scenarios(),
+        Ok(FleetCommand::Slopes(options)) => slopes(&options),
         Ok(FleetCommand::Compare(a, b)) => side_by_side(&a, &b),
         Ok(FleetCommand::Run(options)) => run(*options),
         Err(e) => told(&e, EXIT_USAGE),
@@ -25,6 +26,15 @@
     status.into()
 }
 
+/// Runs `capacity-slopes`, which counts its own memory and so is a program of its own.
+fn slopes(options: &[String]) -> ExitCode {
+    let program = std::env::current_exe().unwrap_or_default().with_file_name("capacity-slopes");
+    match std::process::Command::new(&program).args(options).status() {
+        Ok(s) => ExitCode::from(s.code().and_then(|c| u8::try_from(c).ok()).unwrap_or(1)),
+        Err(source) => told(&FleetError::File { path: program, source }, EXIT_USAGE),
+    }
+}
+
 fn scenarios() -> ExitCode {
     match Scenario::all() {
         Err(e) => told(&e, EXIT_USAGE),
--- a/crates/fleet-emulator/src/fleet_command.rs
+++ b/crates/fleet-emulator/src/fleet_command.rs
@@ -9,6 +9,8 @@
     Scenarios,
     /// Put reports side by side.
     Compare(Vec<PathBuf>, Vec<PathBuf>),
+    /// Measure slopes, with the options of `capacity-slopes`.
+    Slopes(Vec<String>),
     /// Print this.
     Help(String),
 }
@@ -83,7 +85,7 @@
 /// What is said about usage.
 fn usage() -> String {
     options().usage(&format!(
-        "fleet DEPLOYMENT [options]      runs {}\nfleet scenarios                 lists the scenarios\nfleet compare A.json[,..] B.json[,..]  puts reports side by side",
+        "fleet DEPLOYMENT [options]      runs {}\nfleet scenarios                 lists the scenarios\nfleet compare A.json[,..] B.json[,..]  puts reports side by side\nfleet slopes [options]          measures cost against size (options: fleet slopes --help)",
         Deployment::NAMES.join(", ")
     ))
 }
@@ -102,6 +104,10 @@
     /// assert_eq!((r.load.seed, r.faults.events.len(), r.scenario.as_str()), (7, 1, "leader-killed"));
     /// ```
     pub fn read(line: &[String]) -> FleetResult<FleetCommand> {
+        // Its options are its own: the program beside this one reads them.
+        if let Some(("slopes", rest)) = line.split_first().map(|(w, rest)| (w.as_str(), rest)) {
+            return Ok(FleetCommand::Slopes(rest.to_vec()));
+        }
         let m = options().parse(line).map_err(|e| wrong(format!("{e}\n{}", usage())))?;
         if m.opt_present("help") {
             return Ok(FleetCommand::Help(usage()));
