Give drains an order id, so that an old copy can't undo a newer one

Ruled out: the leader cut at the time (the copies came through the new leader); shown by printing each drain as it arrived and was answered. Change: a drain may carry an order id; the log remembers it, and a copy is acknowledged with what is so now. Client, stand-ins and operators' model send one. One client test was changed: it names the order ids now and compares the whole body as before. A drain without an id keeps the hazard.

--- a/crates/caller-stand-in/src/observing.rs
+++ b/crates/caller-stand-in/src/observing.rs
@@ -31,7 +31,7 @@
         (CallBody::GetJob(c), Err(CallError::NotFound { .. })) => {
             Observation::JobAbsent { name: c.name.clone(), through: through.to_owned(), asked_at }
         }
-        (CallBody::DrainWorker(c), Ok(AnswerBody::DrainWorker(_))) => Observation::DrainAnswered { worker: c.name.clone(), on: c.on },
+        (CallBody::DrainWorker(c), Ok(AnswerBody::DrainWorker(a))) => Observation::DrainAnswered { worker: c.name.clone(), on: a.draining },
         (CallBody::EvacuateZone(c), Ok(AnswerBody::EvacuateZone(_))) => {
             Observation::EvacuationAnswered { zone: c.zone.clone(), on: c.on, order_id: c.order_id.clone() }
         }
--- a/crates/caller-stand-in/src/operator_model.rs
+++ b/crates/caller-stand-in/src/operator_model.rs
@@ -192,7 +192,9 @@
                     && let Some(w) = free.choose(&mut self.rng).cloned()
                 {
                     self.drained.insert(w.clone());
-                    let order = DrainWorker { name: w, on: true };
+                    self.orders += 1;
+                    let order_id = Some(format!("{}-drain-{}", self.settings.tag, self.orders));
+                    let order = DrainWorker { name: w, on: true, order_id };
                     self.send(now, Errand::Drain(order.clone()), order.into_body(), effects);
                 }
             }
@@ -319,7 +321,7 @@
             (Errand::Evacuate(order), _) => self.timers.set(soon, Due::Evacuate(order)),
             (Errand::Drain(order), Ending::Answered(..)) => {
                 if order.on {
-                    self.timers.set(now + self.settings.drain_for_ms, Due::Drain(DrainWorker { on: false, ..order }));
+                    self.timers.set(now + self.settings.drain_for_ms, Due::Drain(DrainWorker { on: false, order_id: order.order_id.map(|o| format!("{o}-end")), ..order }));
                 } else {
                     self.drained.remove(&order.name);
                 }
--- a/crates/cluster-messages/src/worker_calls.rs
+++ b/crates/cluster-messages/src/worker_calls.rs
@@ -54,6 +54,10 @@
     /// True to drain, false to take work again.
     #[n(1)]
     pub on: bool,
+    /// The sender's id of the order: a resend of it, however late, is acknowledged again and changes nothing.
+    #[n(2)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub order_id: Option<String>,
 }
 
 /// The answer: no start is intended for it from now on.
--- a/crates/firlock-client/src/commands/worker_commands.rs
+++ b/crates/firlock-client/src/commands/worker_commands.rs
@@ -38,7 +38,8 @@
 /// `drain`.
 pub async fn drain(s: &mut Session<'_>) -> CommandResult {
     let [name] = s.arguments()?;
-    let a = s.client.call(&DrainWorker { name: name.to_owned(), on: !s.matches.opt_present("off") }).await?;
+    let order_id = s.matches.opt_str("order-id").unwrap_or_else(|| crate::session::fresh_id("drain"));
+    let a = s.client.call(&DrainWorker { name: name.to_owned(), on: !s.matches.opt_present("off"), order_id: Some(order_id) }).await?;
     s.print(&a, |a| format!("{} {}; {} attempts on it\n", a.name, if a.draining { "drains" } else { "takes work" }, a.attempts))?;
     Ok(ExitCode::Ok)
 }
--- a/crates/firlock-client/src/subcommand.rs
+++ b/crates/firlock-client/src/subcommand.rs
@@ -95,7 +95,7 @@
         "firlock list --queue table-holds --state waiting --limit 20" => list;
     "why", "why JOB", "Says what a job waits for.", [], "firlock why seating-plan-12" => why;
     "workers", "workers", "Lists workers with their room, use and lifetime band.", [("zone", "Z", "only this zone")], "firlock workers --zone z1" => workers;
-    "drain", "drain WORKER", "Drains a worker: running tasks end, none starts.", [("off", "", "end the drain")], "firlock drain w-07" => drain;
+    "drain", "drain WORKER", "Drains a worker: running tasks end, none starts.", [("off", "", "end the drain"), ("order-id", "ID", "your id of the order, to send it again after a lost answer")], "firlock drain w-07" => drain;
     "remove", "remove WORKER", "Forgets a worker on which nothing runs.",
         [("declare-lost", "", "you vouch that the machine is gone for good: its tasks are tried elsewhere, and would run twice if it were not")],
         "firlock remove w-07" => remove;
--- a/crates/firlock-client/tests/commands.rs
+++ b/crates/firlock-client/tests/commands.rs
@@ -57,8 +57,8 @@
     let (g, state) = serve(healthy()).await;
     let all: &[(&[&str], &str, &str)] = &[
         (&["cancel", "hold-1"], "/v1/jobs/hold-1/cancel", r#"{"name":"hold-1"}"#),
-        (&["drain", "w1"], "/v1/workers/w1/drain", r#"{"name":"w1","on":true}"#),
-        (&["drain", "w1", "--off"], "/v1/workers/w1/drain", r#"{"name":"w1","on":false}"#),
+        (&["drain", "w1", "--order-id", "d1"], "/v1/workers/w1/drain", r#"{"name":"w1","on":true,"order_id":"d1"}"#),
+        (&["drain", "w1", "--off", "--order-id", "d2"], "/v1/workers/w1/drain", r#"{"name":"w1","on":false,"order_id":"d2"}"#),
         (&["remove", "w1"], "/v1/workers/w1/remove", r#"{"name":"w1","declare_lost":false}"#),
         (&["remove", "w1", "--declare-lost"], "/v1/workers/w1/remove", r#"{"name":"w1","declare_lost":true}"#),
         (&["evacuate", "z1", "--order-id", "o1"], "/v1/zones/z1/evacuate", r#"{"zone":"z1","on":true,"order_id":"o1"}"#),
--- a/crates/firlock-client/tests/http_calls.rs
+++ b/crates/firlock-client/tests/http_calls.rs
@@ -18,7 +18,7 @@
         ),
         (ListJobs::default().into_body(), "GET /v1/jobs"),
         (ExplainJob { name: n("a") }.into_body(), "GET /v1/jobs/a/why"),
-        (DrainWorker { name: n("w"), on: true }.into_body(), "POST /v1/workers/w/drain"),
+        (DrainWorker { name: n("w"), on: true, order_id: None }.into_body(), "POST /v1/workers/w/drain"),
         (RemoveWorker { name: n("w"), declare_lost: true }.into_body(), "POST /v1/workers/w/remove"),
         (ListWorkers { zone: Some(n("z1")) }.into_body(), "GET /v1/workers?zone=z1"),
         (EvacuateZone { zone: n("z1"), on: true, order_id: n("o") }.into_body(), "POST /v1/zones/z1/evacuate"),
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -35,6 +35,8 @@
     WorkerReborn { worker: WorkerIndex, boot_id: String },
     /// A worker's drain changed: as ordered, as asked by itself.
     WorkerDraining { worker: WorkerIndex, ordered: bool, asked: bool },
+    /// A drain's order id is to be remembered.
+    DrainOrdered { order_id: String, name: Name, on: bool },
     /// A worker answers its gateway, or doesn't.
     WorkerReachable { worker: WorkerIndex, reachable: bool },
     /// A worker is held by another gateway, or by none.
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -51,6 +51,7 @@
                     (w.drain_ordered, w.drain_asked) = (*ordered, *asked);
                 }
             }
+            Event::DrainOrdered { order_id, name, on } => self.remember_order((order_id.clone(), name.clone(), *on)),
             Event::WorkerReachable { worker, reachable } => {
                 if let Some(w) = self.tables.workers.get_mut(worker) {
                     w.reachable = *reachable;
@@ -96,14 +97,18 @@
                     true => self.tables.evacuated.insert(zone.clone()),
                     false => self.tables.evacuated.remove(zone),
                 };
-                self.tables.orders.push_back((order_id.clone(), zone.clone(), *on));
-                if self.tables.orders.len() as u64 > self.tables.rules.orders_remembered {
-                    self.tables.orders.pop_front();
-                }
+                self.remember_order((order_id.clone(), zone.clone(), *on));
             }
         }
     }
 
+    fn remember_order(&mut self, order: (String, Name, bool)) {
+        self.tables.orders.push_back(order);
+        if self.tables.orders.len() as u64 > self.tables.rules.orders_remembered {
+            self.tables.orders.pop_front();
+        }
+    }
+
     fn job_accepted(&mut self, spec: &Arc<JobSpec>, digest: u64, at: Millis, due_at: Millis, urgency: u8) {
         let number = self.tables.next_job;
         self.tables.next_job += 1;
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -156,6 +156,15 @@
     /// A drain, or its end.
     pub(crate) fn drain(&mut self, d: &DrainWorker) -> CallResult<WorkerDrained> {
         let (i, w) = self.state.worker(&d.name).ok_or_else(|| call_error::not_found("worker", &d.name))?;
+        // Its own kind of id, so that it can't be taken for an evacuation's.
+        if let Some(order_id) = d.order_id.as_ref().map(|o| format!("drain/{o}")) {
+            if let Some((_, name, on)) = self.state.tables.orders.iter().find(|o| o.0 == order_id) {
+                ensure!((name, *on) == (&d.name, d.on), call_error::conflict("drain order", &order_id));
+                return Ok(WorkerDrained { name: d.name.clone(), draining: w.draining(), attempts: self.tasks_on(i).len() as u32 });
+            }
+            self.emit(Event::DrainOrdered { order_id, name: d.name.clone(), on: d.on });
+        }
+        let Some(w) = self.state.tables.workers.get(&i) else { return Err(call_error::not_found("worker", &d.name)) };
         let asked = w.drain_asked && d.on;
         if (w.drain_ordered, w.drain_asked) != (d.on, asked) {
             self.emit(Event::WorkerDraining { worker: i, ordered: d.on, asked });
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -39,7 +39,7 @@
             let order = n > ordered;
             match e {
                 Event::JobAccepted { spec, .. } => accepted.extend(s.names.get(&spec.name)),
-                Event::RulesChanged { .. } | Event::JobDue { .. } | Event::AttemptChecked { .. } | Event::GangOut { .. } | Event::StepDone { .. } => {}
+                Event::DrainOrdered { .. } | Event::RulesChanged { .. } | Event::JobDue { .. } | Event::AttemptChecked { .. } | Event::GangOut { .. } | Event::StepDone { .. } => {}
                 Event::JobEnding { job, .. } | Event::JobOver { job, .. } => {
                     jobs.insert(*job);
                 }
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -295,12 +295,12 @@
     b.submit(job("j", 2));
     let out = b.plan();
     b.started(out[0].0);
-    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: true }));
+    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: true, order_id: None }));
     assert_eq!(b.attempt(out[0].0).unwrap().stop, None, "what runs may end");
     assert_eq!(b.attempt(out[1].0).unwrap().stop, Some(StopReason::Draining));
     b.submit(job("k", 1));
     assert!(b.plan().is_empty());
-    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: false }));
+    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: false, order_id: None }));
     let order = |on, id: &str| Command::Evacuate(EvacuateZone { zone: "z1".into(), on, order_id: id.into() });
     b.one(order(true, "o1"));
     assert!(b.plan().is_empty());
@@ -472,3 +472,18 @@
     // The patience with all of them doubles with each stop: 10 s, 20 s, ... 1,000 s hold no more than seven.
     assert!((1..=7).contains(&stops), "{stops}");
 }
+
+/// Found by the simulator (seed 31422, 12 faults): a gateway that woke after 23 s carried out the copies of a drain and of its
+/// end that it had taken along, and so undid a newer drain that was acknowledged.
+#[test]
+fn an_old_copy_of_a_drain_order_changes_nothing() {
+    let mut b = Bench::new(1);
+    let order = |on, id: &str| Command::Drain(DrainWorker { name: "w0".into(), on, order_id: Some(id.into()) });
+    b.one(order(true, "o1"));
+    b.one(order(false, "o2"));
+    b.one(order(true, "o3"));
+    let again = b.one(order(false, "o2"));
+    assert!(matches!(again, Some(Ok(AnswerBody::DrainWorker(d))) if d.draining), "acknowledged again, with what is so now");
+    assert!(b.ledger.state.tables.workers[&0].draining());
+    assert!(matches!(b.one(order(true, "o2")), Some(Err(CallError::Conflict { .. }))));
+}
--- a/crates/worker-stand-in/src/worker_host.rs
+++ b/crates/worker-stand-in/src/worker_host.rs
@@ -136,7 +136,8 @@
         self.step(WorkerInput::Behave(behaviour));
         let path = format!("/v1/workers/{worker}/drain");
         loop {
-            let body = DrainWorker { name: worker.clone(), on };
+            let order_id = Some(format!("{worker}-{on}-{}", self.now()));
+            let body = DrainWorker { name: worker.clone(), on, order_id };
             let answer = self.call(&path, &body).await.and_then(|b| serde_json::from_slice::<WorkerDrained>(&b).ok());
             if answer.is_some_and(|a| a.draining == on) {
                 self.recorder.record(self.clock.now(), Observation::DrainAnswered { worker: worker.clone(), on });
