Say which founder founds, as the code does

Cause: the comment still named the first founder of the list. Change: it names the one with the lowest address. No code is changed.

--- a/crates/scheduler-core/src/scheduler_members.rs
+++ b/crates/scheduler-core/src/scheduler_members.rs
@@ -95,7 +95,7 @@
         self.found(now);
     }
 
-    /// Founds the cluster: only the first founder does, and only when every founder says, lately, that it is new. A
+    /// Founds the cluster: only the founder with the lowest address does, and only when every founder says, lately, that it is new. A
     /// machine that lost its disk finds the others formed, and joins as a new member instead.
     fn found(&mut self, now: Millis) {
         // The lowest address, so that the order of the list on each machine doesn't matter.
