--- a/crates/caller-stand-in/src/operator_model.rs
+++ b/crates/caller-stand-in/src/operator_model.rs
@@ -321,7 +321,10 @@
             (Errand::Evacuate(order), _) => self.timers.set(soon, Due::Evacuate(order)),
             (Errand::Drain(order), Ending::Answered(..)) => {
                 if order.on {
-                    self.timers.set(now + self.settings.drain_for_ms, Due::Drain(DrainWorker { on: false, order_id: order.order_id.map(|o| format!("{o}-end")), ..order }));
+                    self.timers.set(
+                        now + self.settings.drain_for_ms,
+                        Due::Drain(DrainWorker { on: false, order_id: order.order_id.map(|o| format!("{o}-end")), ..order }),
+                    );
                 } else {
                     self.drained.remove(&order.name);
                 }
--- a/crates/capacity-slopes/src/fleet_driver.rs
+++ b/crates/capacity-slopes/src/fleet_driver.rs
@@ -276,9 +276,10 @@
         // As the executor reads it off the channel.
         self.gateway(gateway, || {
             Some(match order {
-                Order::Start(o) => {
-                    GatewayInput::StartAnswered { attempt: o.attempt, reply: Reply::Answer(serde_json::from_slice::<StartAnswer>(&json).ok()?) }
-                }
+                Order::Start(o) => GatewayInput::StartAnswered {
+                    attempt: o.attempt,
+                    reply: Reply::Answer(serde_json::from_slice::<StartAnswer>(&json).ok()?),
+                },
                 Order::Stop(o) => {
                     let reply = Reply::Answer(serde_json::from_slice::<StopAnswer>(&json).ok()?);
                     GatewayInput::StopAnswered { attempt: o.attempt, worker: name, reply }
--- a/crates/capacity-slopes/src/prelude.rs
+++ b/crates/capacity-slopes/src/prelude.rs
@@ -14,9 +14,7 @@
     PutConfiguration, RegisterWorker, SchedulerFrame, StartAnswer, StartOrder, StepSpec, StopAnswer, StopOrder, SubmitJob, WireMessage,
 };
 pub use gateway_core::{GatewayCore, GatewayEffect, GatewayInput, GatewaySettings, Reply};
-pub use plotters::prelude::{
-    BLACK, BLUE, ChartBuilder, Circle, Color, IntoDrawingArea, IntoFont, LineSeries, RED, SVGBackend, WHITE,
-};
+pub use plotters::prelude::{BLACK, BLUE, ChartBuilder, Circle, Color, IntoDrawingArea, IntoFont, LineSeries, RED, SVGBackend, WHITE};
 pub use replicated_log::prelude::{LogEntry, MessageBody, PersistRequest, RestoredState, StoredRecord};
 pub use rustix::time::{ClockId, clock_gettime};
 pub use scheduler_core::prelude::{PeerFrame, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings};
--- a/crates/capacity-slopes/src/slope_report.rs
+++ b/crates/capacity-slopes/src/slope_report.rs
@@ -75,7 +75,8 @@
 
     /// The slopes as a table; those of nothing are left out.
     pub fn markdown(&self) -> String {
-        let mut t = String::from("| variable | role | quantity | slope for one more | without any | residual | residual, share | noise |\n");
+        let mut t =
+            String::from("| variable | role | quantity | slope for one more | without any | residual | residual, share | noise |\n");
         t.push_str("|---|---|---|--:|--:|--:|--:|--:|\n");
         for s in self.slopes.iter().filter(|s| s.points.iter().any(|p| p.1 != 0.0)) {
             let noise = s.noise_ratio.map_or("exact".to_owned(), |n| format!("{:.0}%", n * 100.0));
@@ -102,9 +103,13 @@
             t.push_str("\n| workers | process | resident, KB | own pages, KB | threads | processor, ms/s | disk, B/s |\n|--:|---|--:|--:|--:|--:|--:|\n");
             self.processes.iter().for_each(|p| t.push_str(&p.lines()));
             for (name, what, of) in PROBED {
-                let points: Vec<(f64, f64)> = self.processes.iter().filter_map(|p| Some((p.workers as f64, of(p.processes.get(name)?)))).collect();
+                let points: Vec<(f64, f64)> =
+                    self.processes.iter().filter_map(|p| Some((p.workers as f64, of(p.processes.get(name)?)))).collect();
                 if let Ok(f) = Fit::of(&points) {
-                    t.push_str(&format!("\n{name}: {what}: {:.3} for one more worker, {:.1} without any, residual {:.2}\n", f.slope, f.intercept, f.residual));
+                    t.push_str(&format!(
+                        "\n{name}: {what}: {:.3} for one more worker, {:.1} without any, residual {:.2}\n",
+                        f.slope, f.intercept, f.residual
+                    ));
                 }
             }
         }
@@ -158,8 +163,19 @@
     let s = &r.size;
     let mut t = format!(
         "\n{} workers, {} running, {} gateways, {} members, {} queues in {} zones, {:.1} starts/s, {} jobs kept, snapshot {} B, {} entries, {} commands, {} updates in {} s\n\n",
-        s.workers, r.running, s.gateways, s.members, s.queues, s.zones, r.started as f64 * 1_000.0 / r.window_ms as f64, r.jobs,
-        r.snapshot_bytes, r.entries, r.commands, r.updates, r.window_ms / 1_000
+        s.workers,
+        r.running,
+        s.gateways,
+        s.members,
+        s.queues,
+        s.zones,
+        r.started as f64 * 1_000.0 / r.window_ms as f64,
+        r.jobs,
+        r.snapshot_bytes,
+        r.entries,
+        r.commands,
+        r.updates,
+        r.window_ms / 1_000
     );
     t.push_str("| quantity | leader | follower | gateway |\n|---|--:|--:|--:|\n");
     for q in Quantity::ALL {
--- a/crates/capacity-slopes/src/worked_out.rs
+++ b/crates/capacity-slopes/src/worked_out.rs
@@ -64,7 +64,8 @@
         for role in [Role::Leader, Role::Follower] {
             let of = |q| all.iter().find(|w| w.role == role && w.quantity == q).map(|w| w.sum);
             let (Some(state), Some(log)) = (of(Quantity::State), of(Quantity::Log)) else { continue };
-            let rest = |r: &Reading| Some(r.figure(role, Quantity::Held)? - r.figure(role, Quantity::State)? - r.figure(role, Quantity::Log)?);
+            let rest =
+                |r: &Reading| Some(r.figure(role, Quantity::Held)? - r.figure(role, Quantity::State)? - r.figure(role, Quantity::Log)?);
             let journal = self.readings.iter().filter_map(rest).fold(0.0, f64::max);
             if let Some(w) = all.iter_mut().find(|w| w.role == role && w.quantity == Quantity::Held) {
                 w.parts = vec![("state".to_owned(), state), ("log".to_owned(), log), ("journal and the rest, at most".to_owned(), journal)];
@@ -116,7 +117,9 @@
                 let gateways = slope(Variable::GatewaysLoaded, r, q) - slope(Variable::Gateways, r, q);
                 parts.push(("more gateways under load".to_owned(), gateways * (wanted.gateways as f64 - LOADED.0) * load));
                 let members = slope(Variable::Members, r, q);
-                let workers = slope(Variable::WorkersLoaded, r, q) - slope(Variable::Workers, r, q) - TASKS_A_WORKER * slope(Variable::RunningTasks, r, q);
+                let workers = slope(Variable::WorkersLoaded, r, q)
+                    - slope(Variable::Workers, r, q)
+                    - TASKS_A_WORKER * slope(Variable::RunningTasks, r, q);
                 parts.push(("more workers under load".to_owned(), workers * (wanted.workers as f64 - LOADED_FLEET.0) * load));
                 let queues = slope(Variable::QueuesLoaded, r, q) - slope(Variable::Queues, r, q);
                 parts.push(("more queues under load".to_owned(), queues * ((wanted.queues * wanted.zones) as f64 - LOADED_FLEET.1) * load));
@@ -136,7 +139,8 @@
             (Quantity::Received, Quantity::Sent),
             (Quantity::ReceivedBytes, Quantity::SentBytes),
         ];
-        let sums: Vec<(Quantity, f64, f64)> = pairs.iter().map(|(l, o)| (*l, links(Role::Follower, *o), links(Role::Gateway, *o))).collect();
+        let sums: Vec<(Quantity, f64, f64)> =
+            pairs.iter().map(|(l, o)| (*l, links(Role::Follower, *o), links(Role::Gateway, *o))).collect();
         for (q, followers, gateways) in sums {
             if let Some(w) = all.iter_mut().find(|w| w.role == Role::Leader && w.quantity == q) {
                 w.parts = vec![("to or from followers".to_owned(), followers), ("to or from gateways".to_owned(), gateways)];
--- a/crates/declared-settings/src/configuration_history.rs
+++ b/crates/declared-settings/src/configuration_history.rs
@@ -55,12 +55,7 @@
     /// A known id is answered from memory whatever its base: the same tree gets the
     /// same acknowledgement, another tree or an invalid one is a conflict. After
     /// that come the tree's faults, then the race.
-    pub fn put(
-        &mut self,
-        base_version: u64,
-        change_id: &str,
-        json: &[u8],
-    ) -> Result<PutOutcome, PutError> {
+    pub fn put(&mut self, base_version: u64, change_id: &str, json: &[u8]) -> Result<PutOutcome, PutError> {
         match self.consider(base_version, change_id, json)? {
             (Some(outcome), _) => Ok(outcome),
             (None, tree) => Ok(self.commit(change_id, tree)),
@@ -68,59 +63,27 @@
     }
 
     /// What [`put`](Self::put) would answer, without applying anything.
-    pub fn preview(
-        &self,
-        base_version: u64,
-        change_id: &str,
-        json: &[u8],
-    ) -> Result<(PutOutcome, Vec<PlannedChange>), PutError> {
+    pub fn preview(&self, base_version: u64, change_id: &str, json: &[u8]) -> Result<(PutOutcome, Vec<PlannedChange>), PutError> {
         let (applied, tree) = self.consider(base_version, change_id, json)?;
         if let Some(outcome) = applied {
             return Ok((outcome, Vec::new()));
         }
         let (version, digest) = (self.version + 1, tree.digest());
-        let outcome = PutOutcome {
-            version,
-            digest,
-            already_applied: false,
-        };
+        let outcome = PutOutcome { version, digest, already_applied: false };
         Ok((outcome, plan(&self.tree, &tree)))
     }
 
-    fn consider(
-        &self,
-        base: u64,
-        change_id: &str,
-        json: &[u8],
-    ) -> Result<(Option<PutOutcome>, SettingsTree), PutError> {
-        let fits = (1..=CHANGE_ID_MOST).contains(&change_id.len())
-            && change_id.bytes().all(|b| b.is_ascii_graphic());
-        ensure!(
-            fits,
-            BadChangeIdSnafu {
-                most: CHANGE_ID_MOST
-            }
-        );
+    fn consider(&self, base: u64, change_id: &str, json: &[u8]) -> Result<(Option<PutOutcome>, SettingsTree), PutError> {
+        let fits = (1..=CHANGE_ID_MOST).contains(&change_id.len()) && change_id.bytes().all(|b| b.is_ascii_graphic());
+        ensure!(fits, BadChangeIdSnafu { most: CHANGE_ID_MOST });
         let (most, found) = (self.bounds.most_tree_bytes, json.len() as u64);
         ensure!(found <= most, TooLargeSnafu { most, found });
 
         let read = SettingsTree::parse_within(json, &self.bounds);
         if let Some(&(version, digest)) = self.by_id.get(change_id) {
             return match read {
-                Ok(tree) if tree.digest() == digest => Ok((
-                    Some(PutOutcome {
-                        version,
-                        digest,
-                        already_applied: true,
-                    }),
-                    tree,
-                )),
-                _ => ChangeIdReusedSnafu {
-                    change_id,
-                    version,
-                    digest,
-                }
-                .fail(),
+                Ok(tree) if tree.digest() == digest => Ok((Some(PutOutcome { version, digest, already_applied: true }), tree)),
+                _ => ChangeIdReusedSnafu { change_id, version, digest }.fail(),
             };
         }
         let tree = read.map_err(|faults| PutError::Invalid { faults })?;
@@ -135,27 +98,13 @@
         self.version = version;
         self.tree = Arc::new(tree);
         let change_id = change_id.to_owned();
-        self.remember(RememberedChange {
-            change_id: change_id.clone(),
-            version,
-            digest,
-        });
-        self.keep(HistoryEntry {
-            version,
-            change_id,
-            digest,
-            patch,
-        });
-        PutOutcome {
-            version,
-            digest,
-            already_applied: false,
-        }
+        self.remember(RememberedChange { change_id: change_id.clone(), version, digest });
+        self.keep(HistoryEntry { version, change_id, digest, patch });
+        PutOutcome { version, digest, already_applied: false }
     }
 
     fn remember(&mut self, change: RememberedChange) {
-        self.by_id
-            .insert(change.change_id.clone(), (change.version, change.digest));
+        self.by_id.insert(change.change_id.clone(), (change.version, change.digest));
         self.changes.push_back(change);
         while self.changes.len() as u64 > self.bounds.remembered_changes {
             if let Some(oldest) = self.changes.pop_front() {
@@ -212,11 +161,7 @@
     /// The acknowledgement that a remembered change got.
     pub fn applied(&self, change_id: &str) -> Option<PutOutcome> {
         let &(version, digest) = self.by_id.get(change_id)?;
-        Some(PutOutcome {
-            version,
-            digest,
-            already_applied: true,
-        })
+        Some(PutOutcome { version, digest, already_applied: true })
     }
 
     /// The changes that lead from `version` to the one in force, oldest first; none
@@ -225,11 +170,7 @@
         let missing = self.version.checked_sub(version)?;
         let skip = (self.entries.len() as u64).checked_sub(missing)?;
         let kept = |e: &'_ HistoryEntry| e.patch.is_some();
-        self.entries
-            .iter()
-            .skip(skip as usize)
-            .map(|e| kept(e).then_some(e))
-            .collect()
+        self.entries.iter().skip(skip as usize).map(|e| kept(e).then_some(e)).collect()
     }
 
     /// The stored form.
@@ -261,21 +202,14 @@
     /// assert_eq!(ConfigurationHistory::decode(&history.encode(), bounds), Ok(history));
     /// ```
     pub fn decode(bytes: &[u8], bounds: ConfigurationSettings) -> Result<Self, SnapshotError> {
-        let snapshot: HistorySnapshot =
-            minicbor::decode(bytes).map_err(|e| SnapshotError::Unreadable {
-                reason: e.to_string(),
-            })?;
-        let tree = SettingsTree::parse_within(&snapshot.tree, &bounds)
-            .map_err(|faults| SnapshotError::InvalidTree { faults })?;
+        let snapshot: HistorySnapshot = minicbor::decode(bytes).map_err(|e| SnapshotError::Unreadable { reason: e.to_string() })?;
+        let tree = SettingsTree::parse_within(&snapshot.tree, &bounds).map_err(|faults| SnapshotError::InvalidTree { faults })?;
         let (named, found) = (snapshot.digest, tree.digest());
         ensure!(named == found, OtherDigestSnafu { named, found });
         let mut history = Self::new(bounds);
         history.version = snapshot.version;
         history.tree = Arc::new(tree);
-        snapshot
-            .changes
-            .into_iter()
-            .for_each(|c| history.remember(c));
+        snapshot.changes.into_iter().for_each(|c| history.remember(c));
         snapshot.entries.into_iter().for_each(|e| history.keep(e));
         Ok(history)
     }
--- a/crates/declared-settings/src/declared_settings.rs
+++ b/crates/declared-settings/src/declared_settings.rs
@@ -18,10 +18,7 @@
     /// Sets every key of `object`, and returns every fault with `path` before it.
     fn read_object(&mut self, object: &Value, path: &str) -> Vec<SettingFault> {
         let Some(entries) = object.as_object() else {
-            return vec![SettingFault::new(
-                path,
-                SettingProblem::wrong_type("an object", object),
-            )];
+            return vec![SettingFault::new(path, SettingProblem::wrong_type("an object", object))];
         };
         // Sorted here: the map's own order hangs on features of serde_json.
         let entries: BTreeMap<&String, &Value> = entries.iter().collect();
@@ -61,35 +58,20 @@
             faults.extend(more.faults);
         }
         // A setting that was given, but wrongly, is listed once.
-        let listed: BTreeSet<String> = faults
-            .iter()
-            .map(|f| f.path.trim_start_matches('-').replace('-', "_"))
-            .collect();
-        faults.extend(
-            settings
-                .missing()
-                .into_iter()
-                .filter(|f| !listed.contains(&f.path)),
-        );
+        let listed: BTreeSet<String> = faults.iter().map(|f| f.path.trim_start_matches('-').replace('-', "_")).collect();
+        faults.extend(settings.missing().into_iter().filter(|f| !listed.contains(&f.path)));
         SettingFaults::unless_none(faults, settings)
     }
 
     /// All values as one object.
     fn to_json(&self) -> Value {
-        Self::NAMES
-            .iter()
-            .filter_map(|n| Some(((*n).to_owned(), self.get(n)?)))
-            .collect()
+        Self::NAMES.iter().filter_map(|n| Some(((*n).to_owned(), self.get(n)?))).collect()
     }
 
     /// Adds one long flag per setting.
     fn options(options: &mut Options) {
         for d in Self::describe() {
-            let unit = if d.unit.is_empty() {
-                d.type_name.clone()
-            } else {
-                d.unit.to_owned()
-            };
+            let unit = if d.unit.is_empty() { d.type_name.clone() } else { d.unit.to_owned() };
             let help = format!("{} (default {})", d.help, d.default);
             if d.many {
                 options.optmulti("", &d.flag(), &help, &unit);
@@ -107,8 +89,7 @@
             if !matches.opt_defined(&flag) || !matches.opt_present(&flag) {
                 continue;
             }
-            let set = Self::words_to_json(name, &matches.opt_strs(&flag))
-                .and_then(|value| self.set(name, &value));
+            let set = Self::words_to_json(name, &matches.opt_strs(&flag)).and_then(|value| self.set(name, &value));
             if let Err(problem) = set {
                 faults.push(SettingFault::new(format!("--{flag}"), problem));
             }
--- a/crates/declared-settings/src/effective_queue.rs
+++ b/crates/declared-settings/src/effective_queue.rs
@@ -10,19 +10,13 @@
     /// The level that set `name`; none when no such setting is declared.
     pub fn get(&self, name: &str) -> Option<SettingLevel> {
         let known = QueueSettings::NAMES.contains(&name);
-        let level = self
-            .entries
-            .iter()
-            .find(|(n, _)| *n == name)
-            .map(|(_, l)| *l);
+        let level = self.entries.iter().find(|(n, _)| *n == name).map(|(_, l)| *l);
         known.then(|| level.unwrap_or(SettingLevel::Default))
     }
 
     /// Every declared setting with its level.
     pub fn iter(&self) -> impl Iterator<Item = (&'static str, SettingLevel)> {
-        QueueSettings::NAMES
-            .iter()
-            .map(|n| (*n, self.get(n).unwrap_or(SettingLevel::Default)))
+        QueueSettings::NAMES.iter().map(|n| (*n, self.get(n).unwrap_or(SettingLevel::Default)))
     }
 }
 
@@ -53,11 +47,6 @@
             entries.push((name, level));
         }
         entries.sort_unstable();
-        Self {
-            settings,
-            origins: Origins {
-                entries: entries.into(),
-            },
-        }
+        Self { settings, origins: Origins { entries: entries.into() } }
     }
 }
--- a/crates/declared-settings/src/effective_tree.rs
+++ b/crates/declared-settings/src/effective_tree.rs
@@ -51,9 +51,7 @@
             for (zone_name, zone) in &region.zones {
                 let inherited = known_zones
                     .entry((address(&region.overrides), address(&zone.overrides)))
-                    .or_insert_with(|| {
-                        Arc::new(in_region.with(&zone.overrides, SettingLevel::Zone))
-                    })
+                    .or_insert_with(|| Arc::new(in_region.with(&zone.overrides, SettingLevel::Zone)))
                     .clone();
                 let mut queues = BTreeMap::new();
                 for (name, overrides) in &zone.queues {
@@ -62,28 +60,16 @@
                     } else {
                         known_queues
                             .entry((Arc::as_ptr(&inherited) as usize, address(overrides)))
-                            .or_insert_with(|| {
-                                Arc::new(inherited.with(overrides, SettingLevel::Queue))
-                            })
+                            .or_insert_with(|| Arc::new(inherited.with(overrides, SettingLevel::Queue)))
                             .clone()
                     };
                     queues.insert(name.clone(), queue);
                 }
                 let region = region_name.clone();
-                zones.insert(
-                    zone_name.clone(),
-                    EffectiveZone {
-                        region,
-                        inherited,
-                        queues,
-                    },
-                );
+                zones.insert(zone_name.clone(), EffectiveZone { region, inherited, queues });
             }
         }
-        Self {
-            zones,
-            digest: tree.digest(),
-        }
+        Self { zones, digest: tree.digest() }
     }
 
     /// What is in force for one queue of a zone.
@@ -103,9 +89,7 @@
 
     /// Every queue as ((zone, queue), what is in force), sorted.
     pub fn iter(&self) -> impl Iterator<Item = ((&str, &str), &Arc<EffectiveQueue>)> {
-        self.zones
-            .iter()
-            .flat_map(|(z, zone)| zone.queues.iter().map(move |(q, e)| ((&**z, &**q), e)))
+        self.zones.iter().flat_map(|(z, zone)| zone.queues.iter().map(move |(q, e)| ((&**z, &**q), e)))
     }
 
     /// The digest of the tree this was worked out from.
--- a/crates/declared-settings/src/fault_list.rs
+++ b/crates/declared-settings/src/fault_list.rs
@@ -12,10 +12,7 @@
 impl FaultList {
     /// An empty list that keeps `most` faults.
     pub fn new(most: usize) -> Self {
-        Self {
-            most,
-            ..Self::default()
-        }
+        Self { most, ..Self::default() }
     }
 
     /// Adds one fault, or counts it when the list is full.
@@ -36,12 +33,7 @@
     pub fn into_faults(self) -> Vec<SettingFault> {
         let mut faults = self.faults;
         if self.unlisted > 0 {
-            faults.push(SettingFault::new(
-                "",
-                SettingProblem::Unlisted {
-                    count: self.unlisted,
-                },
-            ));
+            faults.push(SettingFault::new("", SettingProblem::Unlisted { count: self.unlisted }));
         }
         faults
     }
--- a/crates/declared-settings/src/level_overrides.rs
+++ b/crates/declared-settings/src/level_overrides.rs
@@ -11,9 +11,7 @@
     /// Takes the entries and sorts them.
     pub(crate) fn new(mut entries: Vec<(&'static str, Value)>) -> Self {
         entries.sort_by_key(|(name, _)| *name);
-        Self {
-            entries: entries.into(),
-        }
+        Self { entries: entries.into() }
     }
 
     /// The names and values, sorted by name.
@@ -23,10 +21,7 @@
 
     /// The value of one setting, when this level sets it.
     pub fn get(&self, name: &str) -> Option<&Value> {
-        self.entries
-            .iter()
-            .find(|(n, _)| *n == name)
-            .map(|(_, v)| v)
+        self.entries.iter().find(|(n, _)| *n == name).map(|(_, v)| v)
     }
 
     /// Whether this level sets nothing.
--- a/crates/declared-settings/src/planned_change.rs
+++ b/crates/declared-settings/src/planned_change.rs
@@ -25,11 +25,7 @@
             (Some(from), None) => write!(f, "{from} is removed")?,
             (None, None) => write!(f, "stays")?,
         }
-        let queues = if self.effective_changes == 1 {
-            "queue"
-        } else {
-            "queues"
-        };
+        let queues = if self.effective_changes == 1 { "queue" } else { "queues" };
         write!(f, " (changes {} {queues})", self.effective_changes)
     }
 }
@@ -109,10 +105,7 @@
             .flat_map(|(name, z)| z.queues.iter().map(move |(q, e)| (name, z, q, e)))
             .filter(|(_, _, q, _)| queue.is_none_or(|name| ***q == *name))
             .filter(|(name, z, q, e)| {
-                let other = there
-                    .zone(name)
-                    .filter(|o| o.region == z.region)
-                    .and_then(|o| o.queues.get(*q));
+                let other = there.zone(name).filter(|o| o.region == z.region).and_then(|o| o.queues.get(*q));
                 match (other, setting) {
                     (Some(o), Some(s)) => shared && o.settings.get(s) != e.settings.get(s),
                     (None, None) => true,
--- a/crates/declared-settings/src/prelude.rs
+++ b/crates/declared-settings/src/prelude.rs
@@ -8,9 +8,7 @@
 };
 
 pub use getopts::{Matches, Options};
-pub use json_patch::{
-    AddOperation, Patch, PatchOperation, RemoveOperation, ReplaceOperation, jsonptr::PointerBuf,
-};
+pub use json_patch::{AddOperation, Patch, PatchOperation, RemoveOperation, ReplaceOperation, jsonptr::PointerBuf};
 pub use minicbor::{Decode, Encode};
 pub use serde::{
     Serialize, Serializer,
@@ -35,9 +33,7 @@
 pub use crate::patch_fault::PatchFault;
 pub use crate::planned_change::{PlannedChange, plan};
 pub use crate::put_error::PutError;
-pub(crate) use crate::put_error::{
-    BadChangeIdSnafu, ChangeIdReusedSnafu, RacedBaseSnafu, TooLargeSnafu,
-};
+pub(crate) use crate::put_error::{BadChangeIdSnafu, ChangeIdReusedSnafu, RacedBaseSnafu, TooLargeSnafu};
 pub use crate::put_outcome::PutOutcome;
 pub use crate::queue_settings::QueueSettings;
 pub(crate) use crate::raw_object::{for_each_entry, kind_of_text};
--- a/crates/declared-settings/src/raw_object.rs
+++ b/crates/declared-settings/src/raw_object.rs
@@ -2,10 +2,7 @@
 
 /// Calls `each` with every key and raw value of the object `raw`, doubles
 /// included, without building the object.
-pub(crate) fn for_each_entry<'a>(
-    raw: &'a RawValue,
-    each: impl FnMut(String, &'a RawValue),
-) -> Result<(), serde_json::Error> {
+pub(crate) fn for_each_entry<'a>(raw: &'a RawValue, each: impl FnMut(String, &'a RawValue)) -> Result<(), serde_json::Error> {
     struct Entries<F>(F);
     impl<'de, F: FnMut(String, &'de RawValue)> Visitor<'de> for Entries<F> {
         type Value = ();
--- a/crates/declared-settings/src/setting_check.rs
+++ b/crates/declared-settings/src/setting_check.rs
@@ -29,18 +29,12 @@
 
 /// Whether `name` is one of `[a-z0-9-]{1,63}`.
 pub(crate) fn is_name(name: &str) -> bool {
-    (1..=NAME_MOST).contains(&name.len())
-        && name
-            .bytes()
-            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+    (1..=NAME_MOST).contains(&name.len()) && name.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
 }
 
 /// The problem of a text that is no name.
 pub(crate) fn bad_name(name: &str) -> SettingProblem {
-    SettingProblem::BadName {
-        found: cut(name, NAME_MOST + 1).into(),
-        most: NAME_MOST,
-    }
+    SettingProblem::BadName { found: cut(name, NAME_MOST + 1).into(), most: NAME_MOST }
 }
 
 impl SettingCheck {
@@ -59,10 +53,7 @@
             (Self::Any | Self::NotEmpty, _) | (_, Value::Null) => true,
             (Self::Names(most) | Self::Most(most), Value::Array(a)) => {
                 if a.len() > *most {
-                    return Err(SettingProblem::TooMany {
-                        most: *most as u64,
-                        found: a.len() as u64,
-                    });
+                    return Err(SettingProblem::TooMany { most: *most as u64, found: a.len() as u64 });
                 }
                 match self {
                     Self::Names(_) => return a.iter().try_for_each(|v| Self::Name.test(v)),
@@ -77,11 +68,7 @@
             (Self::Name, v) => v.as_str().is_some_and(is_name),
             (Self::Names(_) | Self::Most(_), _) => true,
         };
-        if fits {
-            Ok(())
-        } else {
-            Err(self.problem(value))
-        }
+        if fits { Ok(()) } else { Err(self.problem(value)) }
     }
 
     fn problem(&self, value: &Value) -> SettingProblem {
@@ -92,10 +79,7 @@
             },
             Self::NotEmpty => SettingProblem::Missing,
             Self::Name => bad_name(value.as_str().unwrap_or_default()),
-            _ => SettingProblem::OutOfRange {
-                range: self.to_string(),
-                found: value.to_string(),
-            },
+            _ => SettingProblem::OutOfRange { range: self.to_string(), found: value.to_string() },
         }
     }
 }
@@ -110,10 +94,7 @@
             Self::OneOf(texts) => write!(f, "one of: {}", texts.join(", ")),
             Self::NotEmpty => write!(f, "not empty"),
             Self::Name => write!(f, "a name: 1 to {NAME_MOST} of a-z, 0-9 and -"),
-            Self::Names(most) => write!(
-                f,
-                "at most {most} names of 1 to {NAME_MOST} of a-z, 0-9 and -"
-            ),
+            Self::Names(most) => write!(f, "at most {most} names of 1 to {NAME_MOST} of a-z, 0-9 and -"),
             Self::Most(most) => write!(f, "at most {most} items"),
         }
     }
--- a/crates/declared-settings/src/setting_fault.rs
+++ b/crates/declared-settings/src/setting_fault.rs
@@ -20,9 +20,6 @@
 impl SettingFault {
     /// A fault at `path`.
     pub fn new(path: impl Into<String>, problem: SettingProblem) -> Self {
-        Self {
-            path: path.into(),
-            problem,
-        }
+        Self { path: path.into(), problem }
     }
 }
--- a/crates/declared-settings/src/setting_faults.rs
+++ b/crates/declared-settings/src/setting_faults.rs
@@ -11,17 +11,11 @@
 impl SettingFaults {
     /// `Ok` with `value` when `faults` is empty, else all of them.
     pub fn unless_none<T>(faults: Vec<SettingFault>, value: T) -> Result<T, Self> {
-        if faults.is_empty() {
-            Ok(value)
-        } else {
-            Err(Self { faults })
-        }
+        if faults.is_empty() { Ok(value) } else { Err(Self { faults }) }
     }
 
     /// Just one fault.
     pub fn one(path: impl Into<String>, problem: SettingProblem) -> Self {
-        Self {
-            faults: vec![SettingFault::new(path, problem)],
-        }
+        Self { faults: vec![SettingFault::new(path, problem)] }
     }
 }
--- a/crates/declared-settings/src/setting_problem.rs
+++ b/crates/declared-settings/src/setting_problem.rs
@@ -46,9 +46,7 @@
     #[snafu(display("has to be given"))]
     Missing,
     /// A name outside of 1 to 63 of a-z, 0-9 and -.
-    #[snafu(display(
-        "\"{found}\" is no name: 1 to {most} of the characters a-z, 0-9 and \"-\" make one"
-    ))]
+    #[snafu(display("\"{found}\" is no name: 1 to {most} of the characters a-z, 0-9 and \"-\" make one"))]
     BadName {
         /// The name found, cut when long.
         found: String,
@@ -107,33 +105,22 @@
 impl SettingProblem {
     /// The problem that `expected` was wanted and `value` was found.
     pub fn wrong_type(expected: impl Into<String>, value: &Value) -> Self {
-        Self::WrongType {
-            expected: expected.into(),
-            found: kind_of(value),
-        }
+        Self::WrongType { expected: expected.into(), found: kind_of(value) }
     }
 
     /// The problem that `name` is none of `names`, with the nearest of them.
     pub fn unknown_setting(name: &str, names: &[&str]) -> Self {
-        Self::UnknownSetting {
-            nearest: nearest_name(name, names),
-        }
+        Self::UnknownSetting { nearest: nearest_name(name, names) }
     }
 
     /// The parser's error as a problem.
     pub fn not_json(error: &serde_json::Error) -> Self {
-        Self::NotJson {
-            line: error.line(),
-            column: error.column(),
-            reason: error.to_string(),
-        }
+        Self::NotJson { line: error.line(), column: error.column(), reason: error.to_string() }
     }
 }
 
 fn suggestion(nearest: &Option<String>) -> String {
-    nearest
-        .as_ref()
-        .map_or_else(String::new, |name| format!("; is \"{name}\" meant?"))
+    nearest.as_ref().map_or_else(String::new, |name| format!("; is \"{name}\" meant?"))
 }
 
 /// Names the kind of a JSON value in plain words.
@@ -158,9 +145,7 @@
 
 /// The first `most` characters of `text`.
 pub(crate) fn cut(text: &str, most: usize) -> &str {
-    text.char_indices()
-        .nth(most)
-        .map_or(text, |(end, _)| &text[..end])
+    text.char_indices().nth(most).map_or(text, |(end, _)| &text[..end])
 }
 
 /// The greatest edit distance, as a ratio to the name's length, at which a name
@@ -198,9 +183,7 @@
         row[0] = i + 1;
         for (j, y) in b.iter().enumerate() {
             let above = row[j + 1];
-            row[j + 1] = (diagonal + usize::from(x != *y))
-                .min(above + 1)
-                .min(row[j] + 1);
+            row[j + 1] = (diagonal + usize::from(x != *y)).min(above + 1).min(row[j] + 1);
             diagonal = above;
         }
     }
--- a/crates/declared-settings/src/setting_type.rs
+++ b/crates/declared-settings/src/setting_type.rs
@@ -18,16 +18,9 @@
     const MANY: bool = false;
 }
 
-fn parse_word<T: std::str::FromStr + Serialize>(
-    words: &[String],
-    expected: String,
-) -> Result<Value, SettingProblem> {
+fn parse_word<T: std::str::FromStr + Serialize>(words: &[String], expected: String) -> Result<Value, SettingProblem> {
     let word = words.last().map(String::as_str).unwrap_or_default();
-    let value = word
-        .parse::<T>()
-        .ok()
-        .map(|v| json!(v))
-        .filter(|v| !v.is_null());
+    let value = word.parse::<T>().ok().map(|v| json!(v)).filter(|v| !v.is_null());
     value.ok_or_else(|| SettingProblem::wrong_type(expected, &json!(word)))
 }
 
@@ -37,10 +30,7 @@
     }
     fn from_json(value: &Value) -> Result<Self, SettingProblem> {
         value.as_u64().ok_or_else(|| match value.as_i64() {
-            Some(n) => SettingProblem::OutOfRange {
-                range: format!("0 to {}", u64::MAX),
-                found: n.to_string(),
-            },
+            Some(n) => SettingProblem::OutOfRange { range: format!("0 to {}", u64::MAX), found: n.to_string() },
             None => SettingProblem::wrong_type(Self::type_name(), value),
         })
     }
@@ -61,9 +51,7 @@
         "number".into()
     }
     fn from_json(value: &Value) -> Result<Self, SettingProblem> {
-        value
-            .as_f64()
-            .ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
+        value.as_f64().ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
     }
     fn to_json(&self) -> Value {
         json!(self)
@@ -78,9 +66,7 @@
         "true or false".into()
     }
     fn from_json(value: &Value) -> Result<Self, SettingProblem> {
-        value
-            .as_bool()
-            .ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
+        value.as_bool().ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
     }
     fn to_json(&self) -> Value {
         json!(self)
@@ -95,10 +81,7 @@
         "text".into()
     }
     fn from_json(value: &Value) -> Result<Self, SettingProblem> {
-        value
-            .as_str()
-            .map(str::to_owned)
-            .ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
+        value.as_str().map(str::to_owned).ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
     }
     fn to_json(&self) -> Value {
         json!(self)
@@ -110,10 +93,7 @@
         "address (ip:port)".into()
     }
     fn from_json(value: &Value) -> Result<Self, SettingProblem> {
-        value
-            .as_str()
-            .and_then(|s| s.parse().ok())
-            .ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
+        value.as_str().and_then(|s| s.parse().ok()).ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))
     }
     fn to_json(&self) -> Value {
         json!(self.to_string())
@@ -126,23 +106,13 @@
         format!("list of {}", T::type_name())
     }
     fn from_json(value: &Value) -> Result<Self, SettingProblem> {
-        value
-            .as_array()
-            .ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))?
-            .iter()
-            .map(T::from_json)
-            .collect()
+        value.as_array().ok_or_else(|| SettingProblem::wrong_type(Self::type_name(), value))?.iter().map(T::from_json).collect()
     }
     fn to_json(&self) -> Value {
         self.iter().map(T::to_json).collect()
     }
     fn words_to_json(words: &[String]) -> Result<Value, SettingProblem> {
-        words
-            .iter()
-            .flat_map(|w| w.split(','))
-            .filter(|w| !w.is_empty())
-            .map(|w| T::words_to_json(&[w.to_owned()]))
-            .collect()
+        words.iter().flat_map(|w| w.split(',')).filter(|w| !w.is_empty()).map(|w| T::words_to_json(&[w.to_owned()])).collect()
     }
     const MANY: bool = true;
 }
@@ -153,11 +123,7 @@
         format!("optional {}", T::type_name())
     }
     fn from_json(value: &Value) -> Result<Self, SettingProblem> {
-        if value.is_null() {
-            Ok(None)
-        } else {
-            T::from_json(value).map(Some)
-        }
+        if value.is_null() { Ok(None) } else { T::from_json(value).map(Some) }
     }
     fn to_json(&self) -> Value {
         self.as_ref().map_or(Value::Null, T::to_json)
--- a/crates/declared-settings/src/settings_tree.rs
+++ b/crates/declared-settings/src/settings_tree.rs
@@ -54,16 +54,8 @@
 }
 
 impl SettingsTree {
-    pub(crate) fn new(
-        overrides: Arc<LevelOverrides>,
-        regions: BTreeMap<Arc<str>, RegionNode>,
-    ) -> Self {
-        let mut tree = Self {
-            overrides,
-            regions,
-            digest: TreeDigest([0; 32]),
-            bytes: 0,
-        };
+    pub(crate) fn new(overrides: Arc<LevelOverrides>, regions: BTreeMap<Arc<str>, RegionNode>) -> Self {
+        let mut tree = Self { overrides, regions, digest: TreeDigest([0; 32]), bytes: 0 };
         // The writer's small pieces are gathered before they are hashed.
         let mut seen = io::BufWriter::new(HashAndCount::default());
         let written = serde_json::to_writer(&mut seen, &tree);
@@ -81,10 +73,7 @@
     }
 
     /// Reads a tree from JSON within `bounds`; all faults at once.
-    pub fn parse_within(
-        json: &[u8],
-        bounds: &ConfigurationSettings,
-    ) -> Result<Self, SettingFaults> {
+    pub fn parse_within(json: &[u8], bounds: &ConfigurationSettings) -> Result<Self, SettingFaults> {
         TreeParser::new(bounds).parse(json)
     }
 
@@ -128,37 +117,22 @@
 
     /// The place of every queue, sorted.
     pub fn queues(&self) -> impl Iterator<Item = QueuePlace<'_>> {
-        self.regions.iter().flat_map(|(r, region)| {
-            region
-                .zones
-                .iter()
-                .flat_map(move |(z, zone)| zone.queues.keys().map(move |q| (&**r, &**z, &**q)))
-        })
+        self.regions
+            .iter()
+            .flat_map(|(r, region)| region.zones.iter().flat_map(move |(z, zone)| zone.queues.keys().map(move |q| (&**r, &**z, &**q))))
     }
 
     /// What is in force for one queue, and which level each value came from; none
     /// when the tree has no such queue.
     pub fn effective(&self, region: &str, zone: &str, queue: &str) -> Option<EffectiveQueue> {
-        let overrides = self
-            .regions
-            .get(region)?
-            .zones
-            .get(zone)?
-            .queues
-            .get(queue)?;
-        Some(
-            self.effective_at(region, zone)?
-                .with(overrides, SettingLevel::Queue),
-        )
+        let overrides = self.regions.get(region)?.zones.get(zone)?.queues.get(queue)?;
+        Some(self.effective_at(region, zone)?.with(overrides, SettingLevel::Queue))
     }
 
     /// What is in force for a zone, as a queue that sets nothing inherits it; none
     /// when the tree has no such zone.
     pub fn effective_zone(&self, zone: &str) -> Option<EffectiveQueue> {
-        let (region, _) = self
-            .regions
-            .iter()
-            .find(|(_, r)| r.zones.contains_key(zone))?;
+        let (region, _) = self.regions.iter().find(|(_, r)| r.zones.contains_key(zone))?;
         self.effective_at(region, zone)
     }
 
--- a/crates/declared-settings/src/tree_change.rs
+++ b/crates/declared-settings/src/tree_change.rs
@@ -17,14 +17,8 @@
     pub fn operation(&self) -> PatchOperation {
         let path = PointerBuf::from_tokens(self.tokens.iter().copied());
         match (&self.from, &self.to) {
-            (Some(_), Some(to)) => PatchOperation::Replace(ReplaceOperation {
-                path,
-                value: json!(to),
-            }),
-            (None, Some(to)) => PatchOperation::Add(AddOperation {
-                path,
-                value: json!(to),
-            }),
+            (Some(_), Some(to)) => PatchOperation::Replace(ReplaceOperation { path, value: json!(to) }),
+            (None, Some(to)) => PatchOperation::Add(AddOperation { path, value: json!(to) }),
             (_, None) => PatchOperation::Remove(RemoveOperation { path }),
         }
     }
@@ -40,10 +34,7 @@
         };
         let mut map = serializer.serialize_map(None)?;
         map.serialize_entry("op", op)?;
-        map.serialize_entry(
-            "path",
-            PointerBuf::from_tokens(self.tokens.iter().copied()).as_str(),
-        )?;
+        map.serialize_entry("path", PointerBuf::from_tokens(self.tokens.iter().copied()).as_str())?;
         if let Some(to) = &self.to {
             map.serialize_entry("value", to)?;
         }
@@ -54,19 +45,10 @@
 /// All differences from `a` to `b`, sorted. Parts that are equal are skipped, and
 /// none is copied.
 pub fn tree_changes<'a>(a: &'a SettingsTree, b: &'a SettingsTree) -> Vec<TreeChange<'a>> {
-    let mut walk = Walk {
-        tokens: Vec::new(),
-        changes: Vec::new(),
-    };
+    let mut walk = Walk { tokens: Vec::new(), changes: Vec::new() };
     if a.digest() != b.digest() {
         walk.blocks(&a.overrides, &b.overrides);
-        walk.nodes(
-            "regions",
-            (&a.regions, &b.regions),
-            TreePart::Regions,
-            TreePart::Region,
-            Walk::regions,
-        );
+        walk.nodes("regions", (&a.regions, &b.regions), TreePart::Regions, TreePart::Region, Walk::regions);
     }
     walk.changes
 }
@@ -83,13 +65,7 @@
     fn regions(&mut self, a: &'a RegionNode, b: &'a RegionNode) {
         self.blocks(&a.overrides, &b.overrides);
         let one = |z: &'a Arc<ZoneNode>| TreePart::Zone(z);
-        self.nodes(
-            "zones",
-            (&a.zones, &b.zones),
-            TreePart::Zones,
-            one,
-            Walk::zones,
-        );
+        self.nodes("zones", (&a.zones, &b.zones), TreePart::Zones, one, Walk::zones);
     }
 
     fn zones(&mut self, a: &'a Arc<ZoneNode>, b: &'a Arc<ZoneNode>) {
@@ -98,21 +74,11 @@
         }
         self.blocks(&a.overrides, &b.overrides);
         let one = |q: &'a Arc<LevelOverrides>| TreePart::Queue(q);
-        self.nodes(
-            "queues",
-            (&a.queues, &b.queues),
-            TreePart::Queues,
-            one,
-            Walk::blocks,
-        );
+        self.nodes("queues", (&a.queues, &b.queues), TreePart::Queues, one, Walk::blocks);
     }
 
     fn note(&mut self, from: Option<TreePart<'a>>, to: Option<TreePart<'a>>) {
-        self.changes.push(TreeChange {
-            tokens: self.tokens.clone(),
-            from,
-            to,
-        });
+        self.changes.push(TreeChange { tokens: self.tokens.clone(), from, to });
     }
 
     fn within(&mut self, token: &'a str, inner: impl FnOnce(&mut Self)) {
@@ -129,9 +95,7 @@
         }
         self.within("settings", |walk| {
             if a.is_empty() || b.is_empty() {
-                let whole = |block: &'a LevelOverrides| {
-                    (!block.is_empty()).then_some(TreePart::Block(block))
-                };
+                let whole = |block: &'a LevelOverrides| (!block.is_empty()).then_some(TreePart::Block(block));
                 return walk.note(whole(a), whole(b));
             }
             let names: BTreeSet<_> = a.iter().chain(b.iter()).map(|(name, _)| name).collect();
--- a/crates/declared-settings/src/tree_diff.rs
+++ b/crates/declared-settings/src/tree_diff.rs
@@ -11,12 +11,7 @@
 /// assert_eq!(apply_patch(&a, &patch), Ok(b));
 /// ```
 pub fn diff(a: &SettingsTree, b: &SettingsTree) -> Patch {
-    Patch(
-        tree_changes(a, b)
-            .iter()
-            .map(TreeChange::operation)
-            .collect(),
-    )
+    Patch(tree_changes(a, b).iter().map(TreeChange::operation).collect())
 }
 
 /// The JSON of [`diff`], written without building it; none when it has more than
@@ -31,10 +26,7 @@
 /// assert_eq!(patch_text(&a, &b, 10), None);
 /// ```
 pub fn patch_text(a: &SettingsTree, b: &SettingsTree, most: usize) -> Option<String> {
-    let mut text = BoundedText {
-        bytes: Vec::new(),
-        most,
-    };
+    let mut text = BoundedText { bytes: Vec::new(), most };
     serde_json::to_writer(&mut text, &tree_changes(a, b)).ok()?;
     String::from_utf8(text.bytes).ok()
 }
--- a/crates/declared-settings/src/tree_parser.rs
+++ b/crates/declared-settings/src/tree_parser.rs
@@ -36,22 +36,12 @@
     pub(crate) fn parse(mut self, json: &[u8]) -> Result<SettingsTree, SettingFaults> {
         let most = self.bounds.most_tree_bytes;
         if json.len() as u64 > most {
-            return Err(SettingFaults::one(
-                "",
-                SettingProblem::TooLarge {
-                    most,
-                    found: json.len() as u64,
-                },
-            ));
+            return Err(SettingFaults::one("", SettingProblem::TooLarge { most, found: json.len() as u64 }));
         }
         if depth(json) > MOST_DEPTH {
-            return Err(SettingFaults::one(
-                "",
-                SettingProblem::TooDeep { most: MOST_DEPTH },
-            ));
+            return Err(SettingFaults::one("", SettingProblem::TooDeep { most: MOST_DEPTH }));
         }
-        let raw: &RawValue = serde_json::from_slice(json)
-            .map_err(|e| SettingFaults::one("", SettingProblem::not_json(&e)))?;
+        let raw: &RawValue = serde_json::from_slice(json).map_err(|e| SettingFaults::one("", SettingProblem::not_json(&e)))?;
 
         let mut regions = BTreeMap::new();
         let overrides = self.level(raw, "regions", |parser, raw| {
@@ -59,18 +49,9 @@
         });
         if self.queues > self.bounds.most_queues {
             self.path.clear();
-            self.fault(SettingProblem::TooMany {
-                most: self.bounds.most_queues,
-                found: self.queues,
-            });
+            self.fault(SettingProblem::TooMany { most: self.bounds.most_queues, found: self.queues });
         }
-        let Self {
-            faults,
-            names,
-            blocks,
-            zones,
-            ..
-        } = self;
+        let Self { faults, names, blocks, zones, .. } = self;
         drop((names, blocks, zones));
         SettingFaults::unless_none(faults.into_faults(), ())?;
         Ok(SettingsTree::new(overrides, regions))
@@ -79,9 +60,7 @@
     fn region(&mut self, raw: &RawValue) -> RegionNode {
         let mut zones = BTreeMap::new();
         let overrides = self.level(raw, "zones", |parser, raw| {
-            parser.named(raw, &mut zones, |parser, raw, name| {
-                Arc::new(parser.zone(raw, name))
-            });
+            parser.named(raw, &mut zones, |parser, raw, name| Arc::new(parser.zone(raw, name)));
         });
         RegionNode { overrides, zones }
     }
@@ -109,33 +88,20 @@
     }
 
     /// Reads one level: its `settings`, and by `inner` the field `below`.
-    fn level<'a>(
-        &mut self,
-        raw: &'a RawValue,
-        below: &str,
-        mut inner: impl FnMut(&mut Self, &'a RawValue),
-    ) -> Arc<LevelOverrides> {
-        let fields = if below.is_empty() {
-            &["settings"][..]
-        } else {
-            &["settings", below][..]
-        };
+    fn level<'a>(&mut self, raw: &'a RawValue, below: &str, mut inner: impl FnMut(&mut Self, &'a RawValue)) -> Arc<LevelOverrides> {
+        let fields = if below.is_empty() { &["settings"][..] } else { &["settings", below][..] };
         let mut seen = [false; 2];
         let mut overrides = self.empty.clone();
-        self.entries(raw, |parser, name, value| {
-            match fields.iter().position(|f| *f == name) {
-                None => parser.fault(SettingProblem::UnknownField {
-                    nearest: nearest_name(&name, fields),
-                }),
-                Some(i) => {
-                    if mem::replace(&mut seen[i], true) {
-                        parser.fault(SettingProblem::DuplicateKey);
-                    }
-                    if i == 0 {
-                        overrides = parser.block(value);
-                    } else {
-                        inner(parser, value);
-                    }
+        self.entries(raw, |parser, name, value| match fields.iter().position(|f| *f == name) {
+            None => parser.fault(SettingProblem::UnknownField { nearest: nearest_name(&name, fields) }),
+            Some(i) => {
+                if mem::replace(&mut seen[i], true) {
+                    parser.fault(SettingProblem::DuplicateKey);
+                }
+                if i == 0 {
+                    overrides = parser.block(value);
+                } else {
+                    inner(parser, value);
                 }
             }
         });
@@ -169,9 +135,7 @@
             if known.is_some_and(|n| entries.iter().any(|(e, _)| *e == n)) {
                 parser.fault(SettingProblem::DuplicateKey);
             }
-            let set = parser
-                .value(raw)
-                .and_then(|value| parser.scratch.set(&name, &value));
+            let set = parser.value(raw).and_then(|value| parser.scratch.set(&name, &value));
             match (set, known) {
                 (Ok(()), Some(known)) => {
                     let value = parser.scratch.get(known).unwrap_or_default();
@@ -186,10 +150,7 @@
         }
         let block = LevelOverrides::new(entries);
         let text = json!(block).to_string();
-        self.blocks
-            .entry(text.into())
-            .or_insert_with(|| Arc::new(block))
-            .clone()
+        self.blocks.entry(text.into()).or_insert_with(|| Arc::new(block)).clone()
     }
 
     /// Builds the value of one setting, unless it is too large to be any.
@@ -202,17 +163,10 @@
     }
 
     /// Goes over the entries of an object, with the path led along.
-    fn entries<'a>(
-        &mut self,
-        raw: &'a RawValue,
-        mut each: impl FnMut(&mut Self, String, &'a RawValue),
-    ) {
+    fn entries<'a>(&mut self, raw: &'a RawValue, mut each: impl FnMut(&mut Self, String, &'a RawValue)) {
         if !raw.get().starts_with('{') {
             let found = kind_of_text(raw);
-            return self.fault(SettingProblem::WrongType {
-                expected: "an object".into(),
-                found,
-            });
+            return self.fault(SettingProblem::WrongType { expected: "an object".into(), found });
         }
         let end = self.path.len();
         let read = for_each_entry(raw, |name, value| {
--- a/crates/declared-settings/src/tree_part.rs
+++ b/crates/declared-settings/src/tree_part.rs
@@ -34,9 +34,7 @@
                 }
                 map.end()
             }
-            Self::Queues(all) => {
-                serializer.collect_map(all.iter().map(|(n, q)| (&**n, TreePart::Queue(q))))
-            }
+            Self::Queues(all) => serializer.collect_map(all.iter().map(|(n, q)| (&**n, TreePart::Queue(q)))),
             Self::Zone(zone) => {
                 let mut map = serializer.serialize_map(None)?;
                 if !zone.queues.is_empty() {
@@ -47,9 +45,7 @@
                 }
                 map.end()
             }
-            Self::Zones(all) => {
-                serializer.collect_map(all.iter().map(|(n, z)| (&**n, TreePart::Zone(z))))
-            }
+            Self::Zones(all) => serializer.collect_map(all.iter().map(|(n, z)| (&**n, TreePart::Zone(z)))),
             Self::Region(region) => {
                 let mut map = serializer.serialize_map(None)?;
                 if !region.overrides.is_empty() {
@@ -60,9 +56,7 @@
                 }
                 map.end()
             }
-            Self::Regions(all) => {
-                serializer.collect_map(all.iter().map(|(n, r)| (&**n, TreePart::Region(r))))
-            }
+            Self::Regions(all) => serializer.collect_map(all.iter().map(|(n, r)| (&**n, TreePart::Region(r)))),
         }
     }
 }
--- a/crates/declared-settings/src/tree_patch.rs
+++ b/crates/declared-settings/src/tree_patch.rs
@@ -10,11 +10,7 @@
 /// Only the zones that the patch names are turned into JSON; the others are shared
 /// with `tree`. A patch that moves, copies, names a whole region or more, or makes
 /// the tree invalid is applied to the JSON of the whole tree.
-pub fn apply_patch_within(
-    tree: &SettingsTree,
-    patch: &Patch,
-    bounds: &ConfigurationSettings,
-) -> Result<SettingsTree, PatchFault> {
+pub fn apply_patch_within(tree: &SettingsTree, patch: &Patch, bounds: &ConfigurationSettings) -> Result<SettingsTree, PatchFault> {
     if let Some(named) = named_zones(patch) {
         match patched(sparse_value(tree, &named), patch, bounds) {
             Ok(sparse) => {
@@ -41,16 +37,9 @@
     for operation in patch.iter() {
         match operation {
             PatchOperation::Move(_) | PatchOperation::Copy(_) => return None,
-            PatchOperation::Add(_)
-            | PatchOperation::Remove(_)
-            | PatchOperation::Replace(_)
-            | PatchOperation::Test(_) => {}
+            PatchOperation::Add(_) | PatchOperation::Remove(_) | PatchOperation::Replace(_) | PatchOperation::Test(_) => {}
         }
-        let tokens: Vec<String> = operation
-            .path()
-            .tokens()
-            .map(|t| t.decoded().into_owned())
-            .collect();
+        let tokens: Vec<String> = operation.path().tokens().map(|t| t.decoded().into_owned()).collect();
         let tokens: Vec<&str> = tokens.iter().map(String::as_str).collect();
         match tokens[..] {
             ["settings", ..] | ["regions", _, "settings", ..] => {}
@@ -80,9 +69,7 @@
         }
         if !region.zones.is_empty() {
             let zones = region.zones.iter().filter(|(z, _)| is_named(r, z));
-            node["zones"] = zones
-                .map(|(z, zone)| (z.to_string(), json!(TreePart::Zone(zone))))
-                .collect();
+            node["zones"] = zones.map(|(z, zone)| (z.to_string(), json!(TreePart::Zone(zone)))).collect();
         }
         value["regions"][&**r] = node;
     }
@@ -90,11 +77,7 @@
 }
 
 /// Applies the patch to JSON and reads the outcome.
-fn patched(
-    mut value: Value,
-    patch: &Patch,
-    bounds: &ConfigurationSettings,
-) -> Result<SettingsTree, PatchFault> {
+fn patched(mut value: Value, patch: &Patch, bounds: &ConfigurationSettings) -> Result<SettingsTree, PatchFault> {
     // The value is ours and dropped on an error, so nothing has to be undone; the
     // undoing of `json_patch::patch` panics on some moves.
     json_patch::patch_unsafe(&mut value, patch).map_err(|e| PatchFault::Unfit {
@@ -102,8 +85,7 @@
         path: e.path.to_string(),
         reason: e.kind.to_string(),
     })?;
-    SettingsTree::parse_within(value.to_string().as_bytes(), bounds)
-        .map_err(|faults| PatchFault::Invalid { faults })
+    SettingsTree::parse_within(value.to_string().as_bytes(), bounds).map_err(|faults| PatchFault::Invalid { faults })
 }
 
 type Regions = BTreeMap<Arc<str>, RegionNode>;
@@ -120,32 +102,20 @@
         }
     }
     let mut names = BTreeSet::new();
-    let once = regions
-        .values()
-        .flat_map(|r| r.zones.keys())
-        .all(|z| names.insert(z));
+    let once = regions.values().flat_map(|r| r.zones.keys()).all(|z| names.insert(z));
     once.then_some(regions)
 }
 
 /// Holds the whole tree to the bounds that its parts kept.
-fn within_bounds(
-    tree: SettingsTree,
-    bounds: &ConfigurationSettings,
-) -> Result<SettingsTree, PatchFault> {
+fn within_bounds(tree: SettingsTree, bounds: &ConfigurationSettings) -> Result<SettingsTree, PatchFault> {
     let (most, found) = (bounds.most_tree_bytes, tree.bytes());
     let mut faults = Vec::new();
     if found > most {
-        faults.push(SettingFault::new(
-            "",
-            SettingProblem::TooLarge { most, found },
-        ));
+        faults.push(SettingFault::new("", SettingProblem::TooLarge { most, found }));
     }
     let (most, found) = (bounds.most_queues, tree.queues().count() as u64);
     if found > most {
-        faults.push(SettingFault::new(
-            "",
-            SettingProblem::TooMany { most, found },
-        ));
+        faults.push(SettingFault::new("", SettingProblem::TooMany { most, found }));
     }
     SettingFaults::unless_none(faults, tree).map_err(|faults| PatchFault::Invalid { faults })
 }
--- a/crates/declared-settings/tests/inheritance.rs
+++ b/crates/declared-settings/tests/inheritance.rs
@@ -7,12 +7,7 @@
 }
 
 fn faults(json: &str) -> Vec<String> {
-    SettingsTree::parse(json.as_bytes())
-        .unwrap_err()
-        .faults
-        .iter()
-        .map(|f| f.to_string())
-        .collect()
+    SettingsTree::parse(json.as_bytes()).unwrap_err().faults.iter().map(|f| f.to_string()).collect()
 }
 
 fn two_regions() -> SettingsTree {
@@ -41,16 +36,7 @@
 fn each_level_goes_over_the_one_above() {
     let tree = two_regions();
     let holds = tree.effective("gujarat", "z1", "table-holds").unwrap();
-    assert_eq!(
-        holds.settings,
-        QueueSettings {
-            urgency: 9,
-            enabled: false,
-            share: 3.5,
-            cap_tasks: 5,
-            ..QueueSettings::default()
-        }
-    );
+    assert_eq!(holds.settings, QueueSettings { urgency: 9, enabled: false, share: 3.5, cap_tasks: 5, ..QueueSettings::default() });
     let origin = |name| holds.origins.get(name);
     assert_eq!(origin("urgency"), Some(SettingLevel::Queue));
     assert_eq!(origin("share"), Some(SettingLevel::Zone));
@@ -73,21 +59,12 @@
     let places: Vec<_> = tree.queues().collect();
     assert_eq!(
         places,
-        [
-            ("gujarat", "z1", "bulk"),
-            ("gujarat", "z1", "table-holds"),
-            ("gujarat", "z2", "bulk"),
-            ("harwick", "z3", "bulk"),
-        ]
+        [("gujarat", "z1", "bulk"), ("gujarat", "z1", "table-holds"), ("gujarat", "z2", "bulk"), ("harwick", "z3", "bulk"),]
     );
     assert_eq!(effective.iter().count(), places.len());
     for (region, zone, queue) in places {
         let here = effective.get(zone, queue).unwrap();
-        assert_eq!(
-            **here,
-            tree.effective(region, zone, queue).unwrap(),
-            "{zone} {queue}"
-        );
+        assert_eq!(**here, tree.effective(region, zone, queue).unwrap(), "{zone} {queue}");
         let inherited = &effective.zone(zone).unwrap().inherited;
         assert_eq!(**inherited, tree.effective_zone(zone).unwrap());
         assert_eq!(Arc::ptr_eq(here, inherited), queue == "bulk");
@@ -139,46 +116,19 @@
 fn double_settings_are_a_fault() {
     assert_eq!(
         faults(r#"{"settings":{"urgency":1,"urgency":1},"settings":{}}"#),
-        [
-            "settings.urgency: stands here twice",
-            "settings: stands here twice"
-        ]
+        ["settings.urgency: stands here twice", "settings: stands here twice"]
     );
 }
 
 #[test]
 fn bounds_are_typed() {
-    let bounds = ConfigurationSettings {
-        most_tree_bytes: 2000,
-        most_queues: 1,
-        most_faults: 2,
-        ..ConfigurationSettings::default()
-    };
-    let read = |json: &str| {
-        SettingsTree::parse_within(json.as_bytes(), &bounds)
-            .unwrap_err()
-            .faults
-    };
-    assert_eq!(
-        read(&" ".repeat(2001)),
-        [SettingFault::new(
-            "",
-            SettingProblem::TooLarge {
-                most: 2000,
-                found: 2001
-            }
-        )]
-    );
-    assert_eq!(
-        read(&"[".repeat(1000)),
-        [SettingFault::new("", SettingProblem::TooDeep { most: 64 })]
-    );
+    let bounds = ConfigurationSettings { most_tree_bytes: 2000, most_queues: 1, most_faults: 2, ..ConfigurationSettings::default() };
+    let read = |json: &str| SettingsTree::parse_within(json.as_bytes(), &bounds).unwrap_err().faults;
+    assert_eq!(read(&" ".repeat(2001)), [SettingFault::new("", SettingProblem::TooLarge { most: 2000, found: 2001 })]);
+    assert_eq!(read(&"[".repeat(1000)), [SettingFault::new("", SettingProblem::TooDeep { most: 64 })]);
     assert_eq!(
         read(r#"{"regions":{"r":{"zones":{"z":{"queues":{"a":{},"b":{}}}}}}}"#),
-        [SettingFault::new(
-            "",
-            SettingProblem::TooMany { most: 1, found: 2 }
-        )]
+        [SettingFault::new("", SettingProblem::TooMany { most: 1, found: 2 })]
     );
     let many = read(r#"{"a":1,"b":1,"c":1,"d":1}"#);
     assert_eq!(many.len(), 3);
@@ -186,22 +136,11 @@
     assert!(matches!(read("{"), f if matches!(f[0].problem, SettingProblem::NotJson { .. })));
     assert!(matches!(read("{} {}"), f if matches!(f[0].problem, SettingProblem::NotJson { .. })));
     assert!(SettingsTree::parse(b"{\"\xff\":1}").is_err());
-    let small = ConfigurationSettings {
-        most_value_bytes: 64,
-        ..bounds.clone()
-    };
+    let small = ConfigurationSettings { most_value_bytes: 64, ..bounds.clone() };
     let long = format!(r#"{{"settings":{{"kinds":["{}"]}}}}"#, "k".repeat(61));
     assert_eq!(
-        SettingsTree::parse_within(long.as_bytes(), &small)
-            .unwrap_err()
-            .faults,
-        [SettingFault::new(
-            "settings.kinds",
-            SettingProblem::TooLarge {
-                most: 64,
-                found: 65
-            }
-        )]
+        SettingsTree::parse_within(long.as_bytes(), &small).unwrap_err().faults,
+        [SettingFault::new("settings.kinds", SettingProblem::TooLarge { most: 64, found: 65 })]
     );
     assert!(SettingsTree::parse_within(long.as_bytes(), &bounds).is_ok());
 }
@@ -210,37 +149,18 @@
 fn one_tree_has_one_canonical_form() {
     let a = br#"{ "settings": {"share": 1, "cap_tasks": 2}, "regions": {"r": {"zones": {}, "settings": {}}} }"#;
     let b = br#"{"regions":{"r":{}},"settings":{"cap_tasks":2,"share":1.0}}"#;
-    let (a, b) = (
-        SettingsTree::parse(a).unwrap(),
-        SettingsTree::parse(b).unwrap(),
-    );
-    assert_eq!(
-        a.canonical_json(),
-        br#"{"regions":{"r":{}},"settings":{"cap_tasks":2,"share":1.0}}"#
-    );
+    let (a, b) = (SettingsTree::parse(a).unwrap(), SettingsTree::parse(b).unwrap());
+    assert_eq!(a.canonical_json(), br#"{"regions":{"r":{}},"settings":{"cap_tasks":2,"share":1.0}}"#);
     assert_eq!((a.digest(), &a), (b.digest(), &b));
     let empty = SettingsTree::parse(b"{}").unwrap();
     assert_eq!(empty, SettingsTree::default());
     // SHA-256 of the two bytes `{}`.
-    assert_eq!(
-        empty.digest().to_string(),
-        "44136fa355b3678a1146ad16f7e8649e94fb4fc21fe77e8310c060f61caaff8a"
-    );
+    assert_eq!(empty.digest().to_string(), "44136fa355b3678a1146ad16f7e8649e94fb4fc21fe77e8310c060f61caaff8a");
 }
 
 #[test]
 fn a_zone_that_moves_to_another_region_goes_and_comes() {
-    let in_region =
-        |r: &str| tree(json!({"regions": {r: {"zones": {"z": {"queues": {"q": {}}}}}}}));
-    let lines: Vec<String> = plan(&in_region("a"), &in_region("b"))
-        .iter()
-        .map(PlannedChange::to_string)
-        .collect();
-    assert_eq!(
-        lines,
-        [
-            "regions.a: is removed (changes 1 queue)",
-            "regions.b: is added (changes 1 queue)"
-        ]
-    );
+    let in_region = |r: &str| tree(json!({"regions": {r: {"zones": {"z": {"queues": {"q": {}}}}}}}));
+    let lines: Vec<String> = plan(&in_region("a"), &in_region("b")).iter().map(PlannedChange::to_string).collect();
+    assert_eq!(lines, ["regions.a: is removed (changes 1 queue)", "regions.b: is added (changes 1 queue)"]);
 }
--- a/crates/declared-settings/tests/properties.rs
+++ b/crates/declared-settings/tests/properties.rs
@@ -61,10 +61,7 @@
 fn random_pieces_never_panic() {
     let valid = std::cell::Cell::new(0);
     seeded::for_each(2, 20_000, |indexes: &Vec<u8>| {
-        let text: String = indexes
-            .iter()
-            .map(|p| PIECES[usize::from(*p) % PIECES.len()])
-            .collect();
+        let text: String = indexes.iter().map(|p| PIECES[usize::from(*p) % PIECES.len()]).collect();
         read_any(text.as_bytes());
         valid.set(valid.get() + usize::from(read_any(format!("{{{text}}}").as_bytes())));
     });
@@ -73,72 +70,55 @@
 
 #[test]
 fn valid_trees_round_trip_and_broken_ones_never_panic() {
-    seeded::for_each(
-        3,
-        1_000,
-        |(steps, breaks): &(Vec<seeded::Step>, Vec<(u16, u8)>)| {
-            let mut bytes = seeded::tree_json(steps).to_string().into_bytes();
-            assert!(read_any(&bytes));
-            for (place, byte) in breaks {
-                let place = usize::from(*place) % bytes.len();
-                bytes[place] = *byte;
-                read_any(&bytes);
-            }
-        },
-    );
+    seeded::for_each(3, 1_000, |(steps, breaks): &(Vec<seeded::Step>, Vec<(u16, u8)>)| {
+        let mut bytes = seeded::tree_json(steps).to_string().into_bytes();
+        assert!(read_any(&bytes));
+        for (place, byte) in breaks {
+            let place = usize::from(*place) % bytes.len();
+            bytes[place] = *byte;
+            read_any(&bytes);
+        }
+    });
 }
 
 #[test]
 fn a_diff_leads_from_one_tree_to_the_other() {
     let differ = std::cell::Cell::new(0);
-    seeded::for_each(
-        4,
-        1_000,
-        |(a, b, shared): &(Vec<seeded::Step>, Vec<seeded::Step>, Vec<seeded::Step>)| {
-            let tree = |own: &[seeded::Step]| {
-                SettingsTree::from_value(&seeded::tree_json(&[shared, own].concat())).unwrap()
-            };
-            let (a, b) = (tree(a), tree(b));
-            let patch = diff(&a, &b);
-            let text = json!(patch).to_string();
-            let written = patch_text(&a, &b, usize::MAX).unwrap();
-            assert_eq!(
-                serde_json::from_str::<Value>(&written).unwrap(),
-                json!(patch)
-            );
-            let patch: Patch = serde_json::from_str(&text).unwrap();
-            let led = apply_patch(&a, &patch).unwrap();
-            assert_eq!((led.digest(), &led), (b.digest(), &b));
-            assert_eq!(patch.is_empty(), a == b);
-            assert_eq!(plan(&a, &b).is_empty(), a == b);
-            differ.set(differ.get() + usize::from(a != b));
-        },
-    );
+    seeded::for_each(4, 1_000, |(a, b, shared): &(Vec<seeded::Step>, Vec<seeded::Step>, Vec<seeded::Step>)| {
+        let tree = |own: &[seeded::Step]| SettingsTree::from_value(&seeded::tree_json(&[shared, own].concat())).unwrap();
+        let (a, b) = (tree(a), tree(b));
+        let patch = diff(&a, &b);
+        let text = json!(patch).to_string();
+        let written = patch_text(&a, &b, usize::MAX).unwrap();
+        assert_eq!(serde_json::from_str::<Value>(&written).unwrap(), json!(patch));
+        let patch: Patch = serde_json::from_str(&text).unwrap();
+        let led = apply_patch(&a, &patch).unwrap();
+        assert_eq!((led.digest(), &led), (b.digest(), &b));
+        assert_eq!(patch.is_empty(), a == b);
+        assert_eq!(plan(&a, &b).is_empty(), a == b);
+        differ.set(differ.get() + usize::from(a != b));
+    });
     assert!(differ.get() > 500, "{}", differ.get());
 }
 
 #[test]
 fn a_plan_of_single_changes_counts_the_queues_that_alter() {
-    seeded::for_each(
-        5,
-        500,
-        |(steps, step): &(Vec<seeded::Step>, seeded::Step)| {
-            let a = SettingsTree::from_value(&seeded::tree_json(steps)).unwrap();
-            let more = [&steps[..], std::slice::from_ref(step)].concat();
-            let b = SettingsTree::from_value(&seeded::tree_json(&more)).unwrap();
-            let planned: usize = plan(&a, &b).iter().map(|p| p.effective_changes).sum();
-            let mut places: BTreeSet<_> = a.queues().collect();
-            places.extend(b.queues());
-            let alter = places
-                .iter()
-                .filter(|(r, z, q)| {
-                    let settings = |t: &SettingsTree| t.effective(r, z, q).map(|e| e.settings);
-                    settings(&a) != settings(&b)
-                })
-                .count();
-            assert_eq!(planned, alter);
-        },
-    );
+    seeded::for_each(5, 500, |(steps, step): &(Vec<seeded::Step>, seeded::Step)| {
+        let a = SettingsTree::from_value(&seeded::tree_json(steps)).unwrap();
+        let more = [&steps[..], std::slice::from_ref(step)].concat();
+        let b = SettingsTree::from_value(&seeded::tree_json(&more)).unwrap();
+        let planned: usize = plan(&a, &b).iter().map(|p| p.effective_changes).sum();
+        let mut places: BTreeSet<_> = a.queues().collect();
+        places.extend(b.queues());
+        let alter = places
+            .iter()
+            .filter(|(r, z, q)| {
+                let settings = |t: &SettingsTree| t.effective(r, z, q).map(|e| e.settings);
+                settings(&a) != settings(&b)
+            })
+            .count();
+        assert_eq!(planned, alter);
+    });
 }
 
 #[test]
@@ -148,10 +128,7 @@
         let effective = EffectiveTree::new(&tree);
         assert_eq!(effective.iter().count(), tree.queues().count());
         for (region, zone, queue) in tree.queues() {
-            assert_eq!(
-                effective.get(zone, queue).map(|e| (**e).clone()),
-                tree.effective(region, zone, queue)
-            );
+            assert_eq!(effective.get(zone, queue).map(|e| (**e).clone()), tree.effective(region, zone, queue));
             assert_eq!(&*effective.zone(zone).unwrap().region, region);
         }
     });
@@ -200,19 +177,8 @@
 fn operation(([op, depth, r, z, q, kind], value): Draw) -> Value {
     let (r, z, q) = (r % 3, z % 3, q % 3);
     // A zone now and then under a foreign region's name, to meet double names.
-    let home = if kind.is_multiple_of(5) {
-        (r + 1) % 3
-    } else {
-        r
-    };
-    let parts = [
-        "regions".to_owned(),
-        format!("r{r}"),
-        "zones".into(),
-        format!("z{home}-{z}"),
-        "queues".into(),
-        format!("q{q}"),
-    ];
+    let home = if kind.is_multiple_of(5) { (r + 1) % 3 } else { r };
+    let parts = ["regions".to_owned(), format!("r{r}"), "zones".into(), format!("z{home}-{z}"), "queues".into(), format!("q{q}")];
     let mut path: Vec<String> = parts[..usize::from(depth) % 7].to_vec();
     let (of_setting, of_block) = (json!(value % 12), json!({"urgency": value % 12}));
     let content = match kind % 3 {
@@ -242,35 +208,30 @@
 fn a_patch_on_parts_is_the_patch_on_the_whole() {
     let (fit, unfit, invalid) = Default::default();
     let count = |of: &std::cell::Cell<u32>| of.set(of.get() + 1);
-    seeded::for_each(
-        8,
-        4_000,
-        |(steps, first, more): &(Vec<seeded::Step>, Draw, Option<Draw>)| {
-            let tree = SettingsTree::from_value(&seeded::tree_json(steps)).unwrap();
-            let operations = [Some(*first), *more].into_iter().flatten();
-            let patch: Value = operations.map(operation).collect();
-            let patch: Patch = serde_json::from_value(patch).unwrap();
-            let mut value = tree.to_value();
-            // Not `json_patch::patch`, whose undoing panics on some moves.
-            let whole = json_patch::patch_unsafe(&mut value, &patch)
-                .map(|()| SettingsTree::from_value(&value));
-            match (apply_patch(&tree, &patch), whole) {
-                (Ok(parts), Ok(Ok(whole))) => {
-                    assert_eq!((parts.digest(), &parts), (whole.digest(), &whole));
-                    count(&fit);
-                }
-                (Err(PatchFault::Invalid { faults }), Ok(Err(whole))) => {
-                    assert_eq!(faults, whole);
-                    count(&invalid);
-                }
-                (Err(PatchFault::Unfit { operation, .. }), Err(whole)) => {
-                    assert_eq!(operation, whole.operation);
-                    count(&unfit);
-                }
-                (parts, whole) => panic!("{patch:?}: {parts:?} is not {whole:?}"),
+    seeded::for_each(8, 4_000, |(steps, first, more): &(Vec<seeded::Step>, Draw, Option<Draw>)| {
+        let tree = SettingsTree::from_value(&seeded::tree_json(steps)).unwrap();
+        let operations = [Some(*first), *more].into_iter().flatten();
+        let patch: Value = operations.map(operation).collect();
+        let patch: Patch = serde_json::from_value(patch).unwrap();
+        let mut value = tree.to_value();
+        // Not `json_patch::patch`, whose undoing panics on some moves.
+        let whole = json_patch::patch_unsafe(&mut value, &patch).map(|()| SettingsTree::from_value(&value));
+        match (apply_patch(&tree, &patch), whole) {
+            (Ok(parts), Ok(Ok(whole))) => {
+                assert_eq!((parts.digest(), &parts), (whole.digest(), &whole));
+                count(&fit);
             }
-        },
-    );
+            (Err(PatchFault::Invalid { faults }), Ok(Err(whole))) => {
+                assert_eq!(faults, whole);
+                count(&invalid);
+            }
+            (Err(PatchFault::Unfit { operation, .. }), Err(whole)) => {
+                assert_eq!(operation, whole.operation);
+                count(&unfit);
+            }
+            (parts, whole) => panic!("{patch:?}: {parts:?} is not {whole:?}"),
+        }
+    });
     let counts = [fit, unfit, invalid].map(|c| c.get());
     assert!(counts.iter().all(|c| *c > 100), "{counts:?}");
 }
--- a/crates/declared-settings/tests/settings_page.rs
+++ b/crates/declared-settings/tests/settings_page.rs
@@ -14,10 +14,7 @@
 
 #[test]
 fn the_page_names_every_setting() {
-    let all = DaemonSettings::NAMES
-        .iter()
-        .chain(QueueSettings::NAMES)
-        .chain(ConfigurationSettings::NAMES);
+    let all = DaemonSettings::NAMES.iter().chain(QueueSettings::NAMES).chain(ConfigurationSettings::NAMES);
     for name in all {
         assert!(COMMITTED.contains(&format!("\n| `{name}` | ")), "{name}");
     }
--- a/crates/fleet-emulator/src/bin/fleet.rs
+++ b/crates/fleet-emulator/src/bin/fleet.rs
@@ -40,7 +40,10 @@
         Err(e) => told(&e, EXIT_USAGE),
         Ok(all) => {
             all.iter().for_each(|s| {
-                say(&format!("{}\n    does:   {}\n    holds:  {}\n    yields: {} after {} s of load", s.name, s.what, s.must_hold, s.figure, s.seconds))
+                say(&format!(
+                    "{}\n    does:   {}\n    holds:  {}\n    yields: {} after {} s of load",
+                    s.name, s.what, s.must_hold, s.figure, s.seconds
+                ))
             });
             ExitCode::SUCCESS
         }
@@ -59,7 +62,13 @@
     match (read_reports(a), read_reports(b)) {
         (Ok(a), Ok(b)) => {
             let reports = |side: &str, n: usize| format!("{side}, {n} reports");
-            say(&format!("{:<44} {:>34} {:>34} {:>8}", "figure: mean [least most]", reports("A", a.len()), reports("B", b.len()), "B by A"));
+            say(&format!(
+                "{:<44} {:>34} {:>34} {:>8}",
+                "figure: mean [least most]",
+                reports("A", a.len()),
+                reports("B", b.len()),
+                "B by A"
+            ));
             compare(&a, &b).iter().for_each(|c| say(&c.to_string()));
             ExitCode::SUCCESS
         }
--- a/crates/fleet-emulator/src/fault_event.rs
+++ b/crates/fleet-emulator/src/fault_event.rs
@@ -61,8 +61,24 @@
 impl FaultKind {
     /// Every word of `what`.
     pub const WORDS: [&'static str; 18] = [
-        "kill", "freeze", "wake", "restart", "start", "cut", "cut_one_way", "slow_link", "reset_links", "heal", "wipe_disk",
-        "kill_all_schedulers", "cold_worker", "drain_worker", "behaviour", "evacuate", "rate", "config_race",
+        "kill",
+        "freeze",
+        "wake",
+        "restart",
+        "start",
+        "cut",
+        "cut_one_way",
+        "slow_link",
+        "reset_links",
+        "heal",
+        "wipe_disk",
+        "kill_all_schedulers",
+        "cold_worker",
+        "drain_worker",
+        "behaviour",
+        "evacuate",
+        "rate",
+        "config_race",
     ];
 
     /// Its word.
--- a/crates/fleet-emulator/src/fleet_run.rs
+++ b/crates/fleet-emulator/src/fleet_run.rs
@@ -92,7 +92,8 @@
         // From before the first configuration: a probe that starts later would count its own absence.
         let probe = ConfigurationProbe::start(&self.layout, &self.desk, &self.tree);
         self.found().await?;
-        let stand_ins = Arc::new(StandInProcesses::start_workers(&self.layout, &self.folder, &self.options.bin_folder, &self.options.load)?);
+        let stand_ins =
+            Arc::new(StandInProcesses::start_workers(&self.layout, &self.folder, &self.options.bin_folder, &self.options.load)?);
         let workers = self.layout.of_role(Role::Worker).count();
         self.until("all workers registered", WORKERS_WAIT_S, || async {
             stand_ins.check().await?;
@@ -210,7 +211,9 @@
         collected?;
         let counts = stand_ins.with_seen(Counts::of);
         let leader = match status {
-            Some(st) => format!("{} term {} configuration {} waiting {}", self.leader_name(), st.term, st.configuration_version, st.waiting_tasks),
+            Some(st) => {
+                format!("{} term {} configuration {} waiting {}", self.leader_name(), st.term, st.configuration_version, st.waiting_tasks)
+            }
             None => "none told".to_owned(),
         };
         say(&format!("{s:7.1} s  {counts}; leader {leader}"));
@@ -267,7 +270,9 @@
             let through = g.advertised_http().to_string();
             match self.observer.read_at(g, &GetJob { name: name.clone() }).await {
                 Ok(j) => Some(Observation::JobSeen { name: name.clone(), state: j.summary.state, through, asked_at }),
-                Err(TryError::Call { source: CallError::NotFound { .. } }) => Some(Observation::JobAbsent { name: name.clone(), through, asked_at }),
+                Err(TryError::Call { source: CallError::NotFound { .. } }) => {
+                    Some(Observation::JobAbsent { name: name.clone(), through, asked_at })
+                }
                 Err(_) => None,
             }
         });
--- a/crates/fleet-emulator/src/layout.rs
+++ b/crates/fleet-emulator/src/layout.rs
@@ -100,8 +100,9 @@
     pub fn daemon_settings(&self, node: &Node, folder: &Path) -> Value {
         let schedulers: Vec<&Node> = self.of_role(Role::Scheduler).collect();
         // Three seeds, each daemon starting at another scheduler.
-        let seeds: Vec<String> =
-            (0..schedulers.len().min(3)).map(|i| schedulers[(i + node.id as usize) % schedulers.len()].advertised_internal().to_string()).collect();
+        let seeds: Vec<String> = (0..schedulers.len().min(3))
+            .map(|i| schedulers[(i + node.id as usize) % schedulers.len()].advertised_internal().to_string())
+            .collect();
         let mut v = json!({
             "node_name": node.name,
             "cluster": self.deployment.name,
--- a/crates/fleet-emulator/src/link_table.rs
+++ b/crates/fleet-emulator/src/link_table.rs
@@ -22,10 +22,7 @@
 impl Inner {
     /// What the rules in force do to one link.
     fn effect(&self, from: NodeId, to: NodeId) -> LinkEffect {
-        self.rules
-            .iter()
-            .filter(|r| r.from.contains(&from) && r.to.contains(&to))
-            .fold(LinkEffect::default(), |e, r| e.and(r.effect))
+        self.rules.iter().filter(|r| r.from.contains(&from) && r.to.contains(&to)).fold(LinkEffect::default(), |e, r| e.and(r.effect))
     }
 
     /// Puts the rules in force on all links.
--- a/crates/fleet-emulator/src/order_desk.rs
+++ b/crates/fleet-emulator/src/order_desk.rs
@@ -15,7 +15,8 @@
     pub fn new(layout: &Layout, seed: u64) -> OrderDesk {
         let from = layout.of_role(Role::Operator).next().map(|n| n.ip.into());
         let gateways = layout.of_role(Role::Gateway).map(|n| n.advertised_http().to_string()).collect();
-        let client = GatewayClient::new(HyperTransport::new(from), TokioClock::default(), gateways, RetrySettings::with_budget(ORDER_MS), seed);
+        let client =
+            GatewayClient::new(HyperTransport::new(from), TokioClock::default(), gateways, RetrySettings::with_budget(ORDER_MS), seed);
         OrderDesk { client, record: Mutex::default() }
     }
 
--- a/crates/fleet-emulator/src/report.rs
+++ b/crates/fleet-emulator/src/report.rs
@@ -111,14 +111,24 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "{} · scenario {} · seed {} · rate {} · {:.0} s of load", self.deployment, self.scenario, self.seed, self.rate, self.duration_s)?;
+        writeln!(
+            f,
+            "{} · scenario {} · seed {} · rate {} · {:.0} s of load",
+            self.deployment, self.scenario, self.seed, self.rate, self.duration_s
+        )?;
         for (at, what) in &self.faults {
             writeln!(f, "  {at:7.1} s  {what}")?;
         }
         writeln!(
             f,
             "jobs: {} accepted, {} finished, {} cancelled, {} failed; {} answers shed one, {} given up; {} tasks started, {} runs in vain",
-            self.jobs_accepted, self.jobs_finished, self.jobs_cancelled, self.jobs_failed, self.jobs_shed, self.jobs_given_up, self.tasks_started,
+            self.jobs_accepted,
+            self.jobs_finished,
+            self.jobs_cancelled,
+            self.jobs_failed,
+            self.jobs_shed,
+            self.jobs_given_up,
+            self.tasks_started,
             self.runs_unneeded
         )?;
         writeln!(f, "start, urgent    {}", LatencyLine(&self.start_latency_ms.urgent))?;
@@ -132,7 +142,11 @@
         writeln!(f, "drain, empty     {}", LatencyLine(&self.drain_empty_ms))?;
         writeln!(f, "cancel           {}", LatencyLine(&self.cancel_ms))?;
         writeln!(f, "longest outage   {} ms", self.outage_ms)?;
-        writeln!(f, "{:<10} {:>6} {:>8} {:>8} {:>12} {:>12} {:>12} {:>6}", "daemon", "cpu", "rss MB", "peak MB", "control B/s", "worker B/s", "caller B/s", "starts")?;
+        writeln!(
+            f,
+            "{:<10} {:>6} {:>8} {:>8} {:>12} {:>12} {:>12} {:>6}",
+            "daemon", "cpu", "rss MB", "peak MB", "control B/s", "worker B/s", "caller B/s", "starts"
+        )?;
         let totals = [("schedulers", &self.all_schedulers), ("gateways", &self.all_gateways)];
         for (n, d) in self.daemons.iter().map(|(n, d)| (n.as_str(), d)).chain(totals) {
             writeln!(
--- a/crates/fleet-emulator/src/stand_in_control.rs
+++ b/crates/fleet-emulator/src/stand_in_control.rs
@@ -28,7 +28,10 @@
         let at = || format!("http://{}{target}", self.address);
         let a = self.transport.send(&self.address.to_string(), &request, CALL_MS).await;
         let a = a.map_err(|e| FleetError::Call { url: at(), problem: e.to_string() })?;
-        ensure!((200..300).contains(&a.status), CallSnafu { url: at(), problem: format!("status {}: {}", a.status, String::from_utf8_lossy(&a.body)) });
+        ensure!(
+            (200..300).contains(&a.status),
+            CallSnafu { url: at(), problem: format!("status {}: {}", a.status, String::from_utf8_lossy(&a.body)) }
+        );
         Ok(a.body)
     }
 
--- a/crates/fleet-emulator/src/whom.rs
+++ b/crates/fleet-emulator/src/whom.rs
@@ -25,7 +25,9 @@
 
 /// A description that can't be read.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("{part:?} describes nobody; known: leader, followers[:N], minority, schedulers, scheduler:N, gateways, gateway:N, workers[:N], worker:NAME, zone:NAME, callers, operators, joined by +"))]
+#[snafu(display(
+    "{part:?} describes nobody; known: leader, followers[:N], minority, schedulers, scheduler:N, gateways, gateway:N, workers[:N], worker:NAME, zone:NAME, callers, operators, joined by +"
+))]
 pub struct WhomError {
     part: String,
 }
--- a/crates/fleet-emulator/tests/report_test.rs
+++ b/crates/fleet-emulator/tests/report_test.rs
@@ -33,8 +33,23 @@
     let r = report(7, 900);
     let v = json!(r);
     for key in [
-        "jobs_accepted", "jobs_finished", "violations", "start_latency_ms", "visible_ms", "config_in_force_ms", "drain_ms", "cancel_ms",
-        "outage_ms", "daemons", "seed", "scenario", "duration_s", "all_schedulers", "all_gateways", "faults", "findings",
+        "jobs_accepted",
+        "jobs_finished",
+        "violations",
+        "start_latency_ms",
+        "visible_ms",
+        "config_in_force_ms",
+        "drain_ms",
+        "cancel_ms",
+        "outage_ms",
+        "daemons",
+        "seed",
+        "scenario",
+        "duration_s",
+        "all_schedulers",
+        "all_gateways",
+        "faults",
+        "findings",
     ] {
         assert!(v.get(key).is_some(), "{key}");
     }
@@ -96,7 +111,10 @@
     assert!(c.iter().all(|c| !c.is_apart()), "one report a side has no spread");
     // What only one side has is shown all the same.
     let c = compare(&[json!({"a": 1})], &[json!({"b": {"c": 2}})]);
-    assert_eq!(c.iter().map(|c| (c.path.as_str(), c.a.is_some(), c.b.is_some())).collect::<Vec<_>>(), [("a", true, false), ("b.c", false, true)]);
+    assert_eq!(
+        c.iter().map(|c| (c.path.as_str(), c.a.is_some(), c.b.is_some())).collect::<Vec<_>>(),
+        [("a", true, false), ("b.c", false, true)]
+    );
 }
 
 #[test]
@@ -109,7 +127,16 @@
     assert_eq!((a.len(), b.len()), (2, 1));
     assert!(matches!(read("scenarios"), Ok(FleetCommand::Scenarios)));
     assert!(matches!(read("--help"), Ok(FleetCommand::Help(_))));
-    for bad in ["", "thali", "thaali --scenario leader", "thaali --seed x", "thaali --rate -1", "thaali --scenario none --faults f", "thaali --what", "compare a"] {
+    for bad in [
+        "",
+        "thali",
+        "thaali --scenario leader",
+        "thaali --seed x",
+        "thaali --rate -1",
+        "thaali --scenario none --faults f",
+        "thaali --what",
+        "compare a",
+    ] {
         assert!(read(bad).is_err(), "{bad:?}");
     }
 }
--- a/crates/fleet-emulator/tests/schedule_test.rs
+++ b/crates/fleet-emulator/tests/schedule_test.rs
@@ -33,7 +33,8 @@
 
 #[test]
 fn events_come_in_order_of_time() {
-    let s = FaultSchedule::from_json(&json!([{"at_s": 9, "what": "heal"}, {"at_s": 2.5, "what": "kill", "whom": "leader", "for_s": 20}])).unwrap();
+    let s = FaultSchedule::from_json(&json!([{"at_s": 9, "what": "heal"}, {"at_s": 2.5, "what": "kill", "whom": "leader", "for_s": 20}]))
+        .unwrap();
     assert_eq!(s.events.iter().map(|e| e.at_s).collect::<Vec<_>>(), [2.5, 9.0]);
     assert_eq!(s.ends_s(), 22.5);
 }
@@ -60,8 +61,23 @@
     assert_eq!(
         paths,
         [
-            "[0].at_s", "[1].at_s", "[1].whom", "[2].what", "[3].whom", "[4].whom", "[5].rate", "[6].rate", "[7].delay_ms",
-            "[8].way", "[9].behaviour", "[10].behaviour", "[11].whom", "[12].whom", "[12].others", "[12].for", "[13]",
+            "[0].at_s",
+            "[1].at_s",
+            "[1].whom",
+            "[2].what",
+            "[3].whom",
+            "[4].whom",
+            "[5].rate",
+            "[6].rate",
+            "[7].delay_ms",
+            "[8].way",
+            "[9].behaviour",
+            "[10].behaviour",
+            "[11].whom",
+            "[12].whom",
+            "[12].others",
+            "[12].for",
+            "[13]",
         ],
         "{found:#?}"
     );
@@ -92,8 +108,22 @@
     }
     let names: Vec<Name> = Scenario::all().unwrap().into_iter().map(|s| s.name).collect();
     for wanted in [
-        "leader-killed", "leader-frozen", "leader-cut", "all-schedulers-killed", "gateway-killed", "gateways-herd", "core-split", "one-way-cut",
-        "rolling-restart", "worker-cold", "black-hole-workers", "zone-evacuated", "config-race", "crowd", "disk-lost", "second-loss",
+        "leader-killed",
+        "leader-frozen",
+        "leader-cut",
+        "all-schedulers-killed",
+        "gateway-killed",
+        "gateways-herd",
+        "core-split",
+        "one-way-cut",
+        "rolling-restart",
+        "worker-cold",
+        "black-hole-workers",
+        "zone-evacuated",
+        "config-race",
+        "crowd",
+        "disk-lost",
+        "second-loss",
     ] {
         assert!(names.iter().any(|n| n == wanted), "{wanted}");
     }
--- a/crates/fleet-oracle/src/configuration_watch.rs
+++ b/crates/fleet-oracle/src/configuration_watch.rs
@@ -79,7 +79,14 @@
     }
 
     /// An operator was answered.
-    pub(crate) fn answered(&mut self, at: Millis, id: &str, answer: CallResult<ConfigurationAccepted>, book: &mut FigureBook, tally: &mut Tally) {
+    pub(crate) fn answered(
+        &mut self,
+        at: Millis,
+        id: &str,
+        answer: CallResult<ConfigurationAccepted>,
+        book: &mut FigureBook,
+        tally: &mut Tally,
+    ) {
         match answer {
             Ok(a) => self.acknowledged(at, id, a, book, tally),
             Err(CallError::Shed { .. } | CallError::NoLeader { .. } | CallError::TimeBudgetSpent { .. }) => {}
@@ -158,7 +165,8 @@
         if version < due && due > r.late_told && version >= floor {
             let v = due;
             r.late_told = v;
-            tally.add(Rule::ConfigurationLate, at, || format!("{through} showed version {version}, while {v} was acknowledged long before"));
+            tally
+                .add(Rule::ConfigurationLate, at, || format!("{through} showed version {version}, while {v} was acknowledged long before"));
         }
         if version > r.newest {
             for (_, a) in self.accepted.range(r.newest + 1..=version) {
@@ -178,7 +186,8 @@
         let first = !self.shown.contains_key(&version);
         if first {
             self.shown.insert(version, digest.to_owned());
-            let raced: Vec<String> = self.changes.iter().filter(|(_, c)| c.raced && c.base + 1 == version).map(|(id, _)| id.clone()).collect();
+            let raced: Vec<String> =
+                self.changes.iter().filter(|(_, c)| c.raced && c.base + 1 == version).map(|(id, _)| id.clone()).collect();
             for id in raced {
                 self.judge_raced(at, &id, tally);
             }
--- a/crates/fleet-oracle/src/oracle.rs
+++ b/crates/fleet-oracle/src/oracle.rs
@@ -115,7 +115,11 @@
         self.check_gangs(at);
         self.configuration.finish(at, &self.bounds, &mut self.tally);
         for (name, j) in &mut self.jobs {
-            if j.accepted.is_some() && j.last_absent && !j.may_be_forgotten(at, self.bounds.retention_ms) && j.first_time(Rule::AcknowledgedLost) {
+            if j.accepted.is_some()
+                && j.last_absent
+                && !j.may_be_forgotten(at, self.bounds.retention_ms)
+                && j.first_time(Rule::AcknowledgedLost)
+            {
                 self.tally.add(Rule::AcknowledgedLost, at, || format!("accepted job {name} is gone at the end"));
             }
             j.count_outcome(&mut self.book.counts);
--- a/crates/fleet-oracle/src/oracle_jobs.rs
+++ b/crates/fleet-oracle/src/oracle_jobs.rs
@@ -59,7 +59,9 @@
         j.seen = true;
         let late = j.cancel_answered.is_some_and(|t| asked_at > t.saturating_add(self.bounds.visible_ms));
         if late && matches!(state, JobState::Waiting | JobState::Running) && j.first_time(Rule::AcknowledgedLost) {
-            self.tally.add(Rule::AcknowledgedLost, at, || format!("the cancellation of {name} was acknowledged, {through} shows it {}", state.word()));
+            self.tally.add(Rule::AcknowledgedLost, at, || {
+                format!("the cancellation of {name} was acknowledged, {through} shows it {}", state.word())
+            });
         }
         self.judge_state(at, name, state);
     }
--- a/crates/fleet-oracle/src/prelude.rs
+++ b/crates/fleet-oracle/src/prelude.rs
@@ -3,8 +3,8 @@
 pub use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 pub use cluster_messages::{
-    AttemptId, CallError, CallResult, ConfigurationAccepted, JobAccepted, JobNumber, JobSpec, JobState, Millis, Name, Outcome,
-    Payload, StepSpec,
+    AttemptId, CallError, CallResult, ConfigurationAccepted, JobAccepted, JobNumber, JobSpec, JobState, Millis, Name, Outcome, Payload,
+    StepSpec,
 };
 pub use hdrhistogram::Histogram;
 pub use serde::{Deserialize, Serialize};
--- a/crates/fleet-simulator/src/main.rs
+++ b/crates/fleet-simulator/src/main.rs
@@ -74,7 +74,11 @@
 }
 
 /// Runs each seed on one of the threads; what broke is printed as it ends.
-fn run_all(asked: &Asked, settings: impl Fn(u64) -> SimulationSettings + Sync, describe: impl Fn(&SimulationOutcome) -> Option<String> + Sync) -> Vec<SimulationOutcome> {
+fn run_all(
+    asked: &Asked,
+    settings: impl Fn(u64) -> SimulationSettings + Sync,
+    describe: impl Fn(&SimulationOutcome) -> Option<String> + Sync,
+) -> Vec<SimulationOutcome> {
     let run = |seed: u64| {
         let mut s = Simulation::new(settings(seed));
         s.verbose = asked.verbose;
--- a/crates/fleet-simulator/src/plant.rs
+++ b/crates/fleet-simulator/src/plant.rs
@@ -46,7 +46,9 @@
                 (13_900, Fault::SchedulerCrash { scheduler: 0, for_ms: 8_000 }),
                 (14_000, Fault::DiskLost { scheduler: 1, for_ms: 100 }),
             ],
-            Plant::AbandonedArrives => (0..s.gateways).map(|gateway| (10_000 + 3_000 * gateway as Millis, Fault::GatewayCutFromWorkers { gateway, for_ms: 10_000 })).collect(),
+            Plant::AbandonedArrives => (0..s.gateways)
+                .map(|gateway| (10_000 + 3_000 * gateway as Millis, Fault::GatewayCutFromWorkers { gateway, for_ms: 10_000 }))
+                .collect(),
             Plant::StopForgotten => vec![(4_000, Fault::BadNetwork { loss_ratio: 0.0, late_ms: 8_000, for_ms: s.load_ms })],
             Plant::StartRepeated | Plant::LeaveByIgnored => {
                 let mut late = Behaviour { late_start_ms: (500, 4_000), lost_answer_ratio: 0.5, ..Behaviour::default() };
@@ -55,7 +57,9 @@
                 }
                 let errs = (0..s.workers).map(|worker| (3_000, Fault::WorkerErrs { worker, behaviour: late.clone(), for_ms: s.load_ms }));
                 let cuts = (0..s.gateways as u64).flat_map(|g| {
-                    (0..3).map(move |n| (6_000 + 3_000 * g + 10_000 * n, Fault::GatewayCutFromCore { gateway: g as usize, one_way: false, for_ms: 6_000 }))
+                    (0..3).map(move |n| {
+                        (6_000 + 3_000 * g + 10_000 * n, Fault::GatewayCutFromCore { gateway: g as usize, one_way: false, for_ms: 6_000 })
+                    })
                 });
                 match self {
                     Plant::StartRepeated => errs.collect(),
--- a/crates/fleet-simulator/src/prelude.rs
+++ b/crates/fleet-simulator/src/prelude.rs
@@ -2,12 +2,10 @@
 
 pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-pub use caller_stand_in::{
-    CallerEffect, CallerInput, CallerModel, CallerSettings, Model, OperatorModel, OperatorSettings, Profile,
-};
+pub use caller_stand_in::{CallerEffect, CallerInput, CallerModel, CallerSettings, Model, OperatorModel, OperatorSettings, Profile};
 pub use cluster_messages::prelude::{
-    AnswerBody, CallBody, CallResult, ControlCall, GatewayFrame, HoldAnswer, Millis, Name, RegisterWorker, SchedulerFrame, StartAnswer,
-    AttemptId, StopAnswer, StopResult,
+    AnswerBody, AttemptId, CallBody, CallResult, ControlCall, GatewayFrame, HoldAnswer, Millis, Name, RegisterWorker, SchedulerFrame,
+    StartAnswer, StopAnswer, StopResult,
 };
 pub use fleet_oracle::{Observation, Oracle, OracleBounds, Rule, Verdict};
 pub use gateway_core::{GatewayCore, GatewayEffect, GatewayInput, GatewaySettings, Reply};
--- a/crates/fleet-simulator/src/simulation.rs
+++ b/crates/fleet-simulator/src/simulation.rs
@@ -41,7 +41,8 @@
         let mut os = OperatorSettings { gateways: gateway_names, seed: rng.random(), ..settings.operators.clone() };
         os.tag = format!("o{}", os.seed);
         let queue_urgency = settings.profile.streams(1).into_iter().map(|s| (s.queue.to_owned(), s.urgency)).collect();
-        let bounds = OracleBounds { outage_ms: settings.outage_ms, unix_at_zero_ms: UNIX_AT_ZERO_MS, queue_urgency, ..OracleBounds::default() };
+        let bounds =
+            OracleBounds { outage_ms: settings.outage_ms, unix_at_zero_ms: UNIX_AT_ZERO_MS, queue_urgency, ..OracleBounds::default() };
         let mut s = Simulation {
             now: 0,
             agenda: Agenda::default(),
@@ -111,7 +112,8 @@
             }
             self.happen(o);
         }
-        let attempts_left = self.schedulers.iter().filter_map(|s| s.core.as_ref()).map(|c| c.state().tables.attempts.len()).min().unwrap_or(0);
+        let attempts_left =
+            self.schedulers.iter().filter_map(|s| s.core.as_ref()).map(|c| c.state().tables.attempts.len()).min().unwrap_or(0);
         SimulationOutcome {
             seed: self.settings.seed,
             verdict: self.oracle.finish(end),
@@ -142,7 +144,9 @@
             Occurrence::SchedulerChannelDown { channel } => self.scheduler_channel_down(channel),
             Occurrence::Synced { scheduler, epoch, writes } => self.synced(scheduler, epoch, writes),
             Occurrence::Acked { scheduler, epoch, ticket } => self.acked(scheduler, epoch, ticket),
-            Occurrence::OrderLeaves { call, gateway, epoch, worker, order, leave_by } => self.order_leaves(call, gateway, epoch, worker, order, leave_by),
+            Occurrence::OrderLeaves { call, gateway, epoch, worker, order, leave_by } => {
+                self.order_leaves(call, gateway, epoch, worker, order, leave_by)
+            }
             Occurrence::OrderArrives { call, worker, order } => self.order_arrives(call, worker, order),
             Occurrence::OrderOver { call, reply } => self.order_over(call, reply),
             Occurrence::Ask { gateway, origin, time_budget_ms, body } => self.ask_arrives(gateway, origin, time_budget_ms, *body),
--- a/crates/fleet-simulator/src/simulation_faults.rs
+++ b/crates/fleet-simulator/src/simulation_faults.rs
@@ -86,7 +86,9 @@
                 let others: Vec<Node> = (0..self.workers.len()).map(Node::Worker).collect();
                 self.cut_off(Node::Gateway(gateway), &others, false, until(for_ms));
             }
-            Fault::GatewayCutFromCallers { gateway, one_way, for_ms } => self.cut_off(Node::Gateway(gateway), &[Node::Callers], one_way, until(for_ms)),
+            Fault::GatewayCutFromCallers { gateway, one_way, for_ms } => {
+                self.cut_off(Node::Gateway(gateway), &[Node::Callers], one_way, until(for_ms))
+            }
             Fault::LargeJobs { jobs, times_tasks } => {
                 let stream = self.settings.profile.streams(1)[1].prefix.to_owned();
                 self.model(true, CallerInput::Burst { stream, jobs, times_tasks });
--- a/crates/fleet-simulator/src/simulation_gateways.rs
+++ b/crates/fleet-simulator/src/simulation_gateways.rs
@@ -91,7 +91,8 @@
 
     /// Steps a gateway and carries out its effects.
     pub(crate) fn gateway(&mut self, i: usize, input: GatewayInput) {
-        let held_up_ratio = if self.settings.plant == Some(Plant::LeaveByIgnored) { OFTEN_HELD_UP_RATIO } else { self.settings.held_up_ratio };
+        let held_up_ratio =
+            if self.settings.plant == Some(Plant::LeaveByIgnored) { OFTEN_HELD_UP_RATIO } else { self.settings.held_up_ratio };
         let n = &mut self.gateways[i];
         let (local, epoch) = (n.machine.now(self.now), n.machine.epoch);
         let Some(core) = n.core.as_mut() else { return };
@@ -157,7 +158,10 @@
         match self.network.cut_until(self.now, Node::Gateway(gateway), Node::Worker(worker)) {
             None => self.agenda.set(self.now + delay, Occurrence::OrderArrives { call, worker, order }),
             // Whoever gives up on an order breaks its channel, so that what is still stuck in it is lost for good.
-            Some(heals) if self.network.chance(STUCK_RATIO) && (heals <= self.now + wait || self.settings.plant == Some(Plant::AbandonedArrives)) => {
+            Some(heals)
+                if self.network.chance(STUCK_RATIO)
+                    && (heals <= self.now + wait || self.settings.plant == Some(Plant::AbandonedArrives)) =>
+            {
                 self.agenda.set(heals + delay, Occurrence::OrderArrives { call, worker, order });
             }
             Some(_) => {}
@@ -184,9 +188,15 @@
         let w = &self.workers[worker].identity;
         let (name, address) = (w.name.clone(), w.address.to_string());
         let input = match (order, reply) {
-            (Order::Start(o), WorkerReply::Answer(WorkerAnswer::Start(a))) => GatewayInput::StartAnswered { attempt: o.attempt, reply: Reply::Answer(a) },
-            (Order::Stop(o), WorkerReply::Answer(WorkerAnswer::Stop(a))) => GatewayInput::StopAnswered { attempt: o.attempt, worker: name, reply: Reply::Answer(a) },
-            (Order::Hold(_), WorkerReply::Answer(WorkerAnswer::Hold(a))) => GatewayInput::HoldAnswered { worker: name, address, reply: Reply::Answer(a) },
+            (Order::Start(o), WorkerReply::Answer(WorkerAnswer::Start(a))) => {
+                GatewayInput::StartAnswered { attempt: o.attempt, reply: Reply::Answer(a) }
+            }
+            (Order::Stop(o), WorkerReply::Answer(WorkerAnswer::Stop(a))) => {
+                GatewayInput::StopAnswered { attempt: o.attempt, worker: name, reply: Reply::Answer(a) }
+            }
+            (Order::Hold(_), WorkerReply::Answer(WorkerAnswer::Hold(a))) => {
+                GatewayInput::HoldAnswered { worker: name, address, reply: Reply::Answer(a) }
+            }
             (Order::Start(o), r) => GatewayInput::StartAnswered { attempt: o.attempt, reply: no_answer(&r) },
             (Order::Stop(o), r) => GatewayInput::StopAnswered { attempt: o.attempt, worker: name, reply: no_answer(&r) },
             (Order::Hold(_), r) => GatewayInput::HoldAnswered { worker: name, address, reply: no_answer(&r) },
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -198,7 +198,7 @@
                     }
                 }
                 SchedulerEffect::Peer { address, bytes } => self.send_peer(i, &address, &bytes),
-                SchedulerEffect::Gateway(channel, f) => self.send_frame(channel, Direction::Down(f)),
+                SchedulerEffect::Gateway(channel, f) => self.send_frame(channel, Direction::Down(*f)),
                 SchedulerEffect::Halt(reason) => self.divergences.push(format!("scheduler {i} halted: {reason}")),
                 SchedulerEffect::Leading(l) => {
                     if self.verbose {
@@ -261,7 +261,12 @@
         };
         self.next_channel += 1;
         let channel = self.next_channel;
-        let c = Channel { gateway: (gateway, epoch), scheduler: (s, self.schedulers[s].machine.epoch), last: (self.now, self.now), open: (true, true) };
+        let c = Channel {
+            gateway: (gateway, epoch),
+            scheduler: (s, self.schedulers[s].machine.epoch),
+            last: (self.now, self.now),
+            open: (true, true),
+        };
         self.channels.insert(channel, c);
         self.scheduler(s, SchedulerInput::GatewayUp(channel));
         self.gateway(gateway, GatewayInput::ChannelUp { channel, address });
@@ -294,7 +299,9 @@
             return;
         }
         match *direction {
-            Direction::Up(f) if open.1 && self.schedulers[s.0].machine.epoch == s.1 => self.scheduler(s.0, SchedulerInput::Gateway(channel, f)),
+            Direction::Up(f) if open.1 && self.schedulers[s.0].machine.epoch == s.1 => {
+                self.scheduler(s.0, SchedulerInput::Gateway(channel, f))
+            }
             Direction::Down(frame) if open.0 && self.gateways[g.0].machine.epoch == g.1 => {
                 self.gateway(g.0, GatewayInput::Frame { channel, frame });
             }
--- a/crates/fleet-simulator/src/simulation_settings.rs
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -70,7 +70,7 @@
     /// A small fleet with so many faults drawn from the seed. Faults overlap, so that outages have no bound.
     pub fn chaos(seed: u64, faults: usize) -> Self {
         let mut s = Self::new(seed);
-        if seed % 3 == 0 {
+        if seed.is_multiple_of(3) {
             (s.schedulers, s.gateways) = (5, 4);
         }
         s.load_ms = 60_000;
--- a/crates/fleet-simulator/src/simulation_workers.rs
+++ b/crates/fleet-simulator/src/simulation_workers.rs
@@ -18,7 +18,7 @@
         let mut identity = WorkerIdentity::example(&format!("w{i}"));
         identity.address = std::net::SocketAddr::from(([10, 0, 2, i as u8 + 1], 80));
         identity.service = profile.streams(1).first().map(|s| s.service.to_owned()).unwrap_or_default();
-        identity.kind = if i % 2 == 0 { "new".into() } else { "old".into() };
+        identity.kind = if i.is_multiple_of(2) { "new".into() } else { "old".into() };
         identity.zone = crate::simulation_gateways::zone_of(profile, i);
         identity.rack = format!("r{}", i / 3);
         (identity.cpu_millis, identity.memory_mb) = (8_000, 16_000);
@@ -79,7 +79,8 @@
             let boot_id = boot(i, self.workers[i].boots);
             let answer = StopAnswer { attempt: s.attempt, result: StopResult::Void, boot_id, ended: None };
             let delay = self.network.delay();
-            self.agenda.set(self.now + delay, Occurrence::OrderOver { call: token, reply: WorkerReply::Answer(WorkerAnswer::Stop(answer)) });
+            self.agenda
+                .set(self.now + delay, Occurrence::OrderOver { call: token, reply: WorkerReply::Answer(WorkerAnswer::Stop(answer)) });
             return;
         }
         if let Order::Start(s) = &order {
--- a/crates/fleet-simulator/src/worst_figures.rs
+++ b/crates/fleet-simulator/src/worst_figures.rs
@@ -49,7 +49,11 @@
 impl std::fmt::Display for WorstFigures {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let w = self;
-        write!(f, "| {} | {:?} | {} | {} | {} ({}) | {} | {} ", w.name, w.profile, w.runs, w.broken, w.outage_ms, w.outage_bound_ms, w.urgent_start_p99_ms, w.worst_zone_start_p99_ms)?;
+        write!(
+            f,
+            "| {} | {:?} | {} | {} | {} ({}) | {} | {} ",
+            w.name, w.profile, w.runs, w.broken, w.outage_ms, w.outage_bound_ms, w.urgent_start_p99_ms, w.worst_zone_start_p99_ms
+        )?;
         write!(f, "| {} | {} | {} | {} of {} | {} |", w.drain_ms, w.config_ms, w.visible_ms, w.failed, w.accepted, w.attempts_left)
     }
 }
--- a/crates/gateway-core/src/configuration_view.rs
+++ b/crates/gateway-core/src/configuration_view.rs
@@ -92,7 +92,8 @@
         let mut tree = (*self.tree).clone();
         for (i, p) in u.patches.iter().enumerate().skip(skip as usize) {
             let version = u.base + i as u64 + 1;
-            let patch: json_patch::Patch = serde_json::from_value(p.0.clone()).map_err(|e| PatchError::Unfit { version, reason: e.to_string() })?;
+            let patch: json_patch::Patch =
+                serde_json::from_value(p.0.clone()).map_err(|e| PatchError::Unfit { version, reason: e.to_string() })?;
             json_patch::patch(&mut tree, &patch).map_err(|e| PatchError::Unfit { version, reason: e.to_string() })?;
         }
         Ok(tree)
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -38,7 +38,15 @@
 
 impl GatewayCore {
     /// A gateway that knows nothing yet; `instance` is new for each start of its process.
-    pub fn new(settings: GatewaySettings, name: Name, zone: Name, http_address: String, instance: u64, seeds: Vec<String>, now: Millis) -> Self {
+    pub fn new(
+        settings: GatewaySettings,
+        name: Name,
+        zone: Name,
+        http_address: String,
+        instance: u64,
+        seeds: Vec<String>,
+        now: Millis,
+    ) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(instance);
         let session = Session::new(seeds, now, &mut rng);
         let view = GatewayView { age_most: settings.view_age_most(), configuration_sure: true, ..GatewayView::default() };
--- a/crates/gateway-core/src/gateway_settings.rs
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -17,7 +17,13 @@
 
 impl Default for GatewaySettings {
     fn default() -> Self {
-        GatewaySettings { cluster: "firlock".into(), election_timeout_ms: 1_000, gateway_silence_ms: 3_000, hold_interval_ms: 1_000, inbox: 4_096 }
+        GatewaySettings {
+            cluster: "firlock".into(),
+            election_timeout_ms: 1_000,
+            gateway_silence_ms: 3_000,
+            hold_interval_ms: 1_000,
+            inbox: 4_096,
+        }
     }
 }
 
--- a/crates/gateway-core/src/gateway_view.rs
+++ b/crates/gateway-core/src/gateway_view.rs
@@ -78,7 +78,11 @@
             CallBody::ListJobs(c) => AnswerBody::ListJobs(self.list_jobs(c)),
             CallBody::GetConfiguration(_) if self.configuration_sure => {
                 let c = &self.configuration;
-                AnswerBody::GetConfiguration(Configuration { version: c.version, digest: c.digest.clone(), tree: Payload((*c.tree).clone()) })
+                AnswerBody::GetConfiguration(Configuration {
+                    version: c.version,
+                    digest: c.digest.clone(),
+                    tree: Payload((*c.tree).clone()),
+                })
             }
             _ => return None,
         };
--- a/crates/gateway-core/src/session.rs
+++ b/crates/gateway-core/src/session.rs
@@ -184,7 +184,14 @@
     }
 
     /// This scheduler doesn't lead: follows its hint at once, a few times.
-    pub fn not_leader(&mut self, now: Millis, s: &GatewaySettings, leader: Option<String>, rng: &mut impl Rng, fx: &mut Vec<GatewayEffect>) {
+    pub fn not_leader(
+        &mut self,
+        now: Millis,
+        s: &GatewaySettings,
+        leader: Option<String>,
+        rng: &mut impl Rng,
+        fx: &mut Vec<GatewayEffect>,
+    ) {
         let hint = leader.filter(|l| *l != self.address && self.hops < HOPS && !self.was_silent(l, now));
         let at_once = hint.is_some();
         self.hops = if at_once { self.hops + 1 } else { 0 };
--- a/crates/gateway-core/tests/honest_worker_test.rs
+++ b/crates/gateway-core/tests/honest_worker_test.rs
@@ -30,7 +30,12 @@
                     assert!(f.missing.iter().all(missing), "{:?} isn't missing on {}", f.missing, f.boot_id);
                     let known = |a: &AttemptId| self.ended.contains(a) || self.done.contains(a) || self.forgotten.contains(a);
                     assert!(f.ended.iter().all(|e| known(&e.attempt)), "{:?} hasn't ended", f.ended);
-                    let ends_alone = WorkerFacts { ended: f.ended.clone(), worker: f.worker.clone(), boot_id: f.boot_id.clone(), ..WorkerFacts::default() };
+                    let ends_alone = WorkerFacts {
+                        ended: f.ended.clone(),
+                        worker: f.worker.clone(),
+                        boot_id: f.boot_id.clone(),
+                        ..WorkerFacts::default()
+                    };
                     if *f != ends_alone {
                         let boot = f.boot_id[1..].parse().unwrap();
                         assert!(boot >= self.boot_in_log, "b{} is told after b{}", boot, self.boot_in_log);
@@ -98,7 +103,11 @@
             if let Some(a) = some(&w.running) {
                 w.running.remove(&a);
                 w.change += 1;
-                if what % 10 == 2 { w.ended.insert(a) } else { w.lost.insert((w.boot_id(), a)) };
+                if what % 10 == 2 {
+                    w.ended.insert(a)
+                } else {
+                    w.lost.insert((w.boot_id(), a))
+                };
             }
             Vec::new()
         }
--- a/crates/gateway-core/tests/session_test.rs
+++ b/crates/gateway-core/tests/session_test.rs
@@ -124,7 +124,11 @@
 fn the_less_urgent_is_shed_first_and_operators_keep_a_reserve() {
     let mut t = Stand::new();
     let fill = |t: &mut Stand, f: &dyn Fn(u64) -> CallBody| {
-        (0..).map(|n| (n, t.ask(n, f(n)))).find(|(_, fx)| !answers(fx).is_empty()).map(|(n, fx)| (n, answers(&fx).remove(0).1.unwrap_err())).unwrap()
+        (0..)
+            .map(|n| (n, t.ask(n, f(n))))
+            .find(|(_, fx)| !answers(fx).is_empty())
+            .map(|(n, fx)| (n, answers(&fx).remove(0).1.unwrap_err()))
+            .unwrap()
     };
     let (n, e) = fill(&mut t, &|n| submit(n, 0));
     assert_eq!(n, 20);
--- a/crates/gateway-core/tests/stand/mod.rs
+++ b/crates/gateway-core/tests/stand/mod.rs
@@ -100,7 +100,8 @@
     }
 
     pub fn order(&self, a: AttemptId) -> StartOrder {
-        StartOrder { gang_by_ms: None,
+        StartOrder {
+            gang_by_ms: None,
             attempt: a,
             term: 1,
             worker: W.into(),
--- a/crates/gateway/src/call_input.rs
+++ b/crates/gateway/src/call_input.rs
@@ -43,7 +43,8 @@
 
     /// Sheds queries with other keys.
     pub fn only(&self, keys: &[&str]) -> Result<&Self, CallError> {
-        let faults: Vec<Fault> = self.query.keys().filter(|k| !keys.contains(&k.as_str())).map(|k| Fault::new(format!("?{k}"), "is not known here")).collect();
+        let faults: Vec<Fault> =
+            self.query.keys().filter(|k| !keys.contains(&k.as_str())).map(|k| Fault::new(format!("?{k}"), "is not known here")).collect();
         if faults.is_empty() { Ok(self) } else { Err(CallError::Invalid { faults }) }
     }
 
--- a/crates/gateway/src/core_loop.rs
+++ b/crates/gateway/src/core_loop.rs
@@ -21,8 +21,25 @@
 
 impl CoreLoop {
     /// A loop around a core.
-    pub fn new(core: GatewayCore, clock: MonotonicClock, view: Arc<ArcSwap<GatewayView>>, dialer: ChannelDialer, workers: WorkerCaller) -> Self {
-        CoreLoop { core, clock, view, dialer, workers, channels: HashMap::new(), replies: HashMap::new(), asks: 0, attached: false, fx: Vec::new() }
+    pub fn new(
+        core: GatewayCore,
+        clock: MonotonicClock,
+        view: Arc<ArcSwap<GatewayView>>,
+        dialer: ChannelDialer,
+        workers: WorkerCaller,
+    ) -> Self {
+        CoreLoop {
+            core,
+            clock,
+            view,
+            dialer,
+            workers,
+            channels: HashMap::new(),
+            replies: HashMap::new(),
+            asks: 0,
+            attached: false,
+            fx: Vec::new(),
+        }
     }
 
     /// Runs until all who could send events are gone. Callers wait behind the cluster's own events.
--- a/crates/gateway/src/job_http.rs
+++ b/crates/gateway/src/job_http.rs
@@ -31,7 +31,12 @@
 impl HttpCall for ListJobs {
     fn read(input: &CallInput) -> Result<Self, CallError> {
         input.only(&["queue", "state", "after", "limit"])?;
-        Ok(ListJobs { queue: input.text("queue"), state: input.word("state")?, after: input.number("after")?, limit: input.number("limit")? })
+        Ok(ListJobs {
+            queue: input.text("queue"),
+            state: input.word("state")?,
+            after: input.number("after")?,
+            limit: input.number("limit")?,
+        })
     }
 }
 
--- a/crates/gateway/src/worker_caller.rs
+++ b/crates/gateway/src/worker_caller.rs
@@ -32,7 +32,11 @@
     /// Posts a hold.
     pub fn hold(&self, address: String, order: HoldOrder, give_up_after_ms: Millis) {
         let worker = order.worker.clone();
-        self.post(address, "/hold", order, None, give_up_after_ms, move |address, reply| GatewayInput::HoldAnswered { worker, address, reply });
+        self.post(address, "/hold", order, None, give_up_after_ms, move |address, reply| GatewayInput::HoldAnswered {
+            worker,
+            address,
+            reply,
+        });
     }
 
     /// Posts in a task of its own.
--- a/crates/gateway/tests/daemon_test.rs
+++ b/crates/gateway/tests/daemon_test.rs
@@ -18,7 +18,9 @@
         loop {
             let f = GatewayFrame::from_bytes(&self.stream.next().await.unwrap().unwrap()).unwrap();
             match &f {
-                GatewayFrame::Attach { .. } => self.send(SchedulerFrame::Attached { node: 1, term: 1, log_time_ms: 9_000, schedulers: vec![] }).await,
+                GatewayFrame::Attach { .. } => {
+                    self.send(SchedulerFrame::Attached { node: 1, term: 1, log_time_ms: 9_000, schedulers: vec![] }).await
+                }
                 GatewayFrame::Pulse { stamp, .. } => self.send(SchedulerFrame::PulseEcho { stamp: *stamp, log_time_ms: 9_000 }).await,
                 _ => {}
             }
@@ -102,7 +104,8 @@
             ..DaemonSettings::default()
         };
         let (stop, stopped) = oneshot::channel::<()>();
-        let gateway = tokio::spawn(GatewayProcess::serve(settings, MetricsPage::install().unwrap(), http, async move { drop(stopped.await) }));
+        let gateway =
+            tokio::spawn(GatewayProcess::serve(settings, MetricsPage::install().unwrap(), http, async move { drop(stopped.await) }));
 
         let c = schedulers.next().await.unwrap();
         assert_eq!(c.peer.ip(), at.ip());
@@ -112,7 +115,8 @@
 
         // A start leaves for the worker, and its proof comes back as a fact, like the worker's wish to drain.
         let attempt: AttemptId = "1.0.0.1".parse().unwrap();
-        let order = StartOrder { gang_by_ms: None,
+        let order = StartOrder {
+            gang_by_ms: None,
             attempt,
             term: 1,
             worker: WORKER.into(),
@@ -136,7 +140,14 @@
             accepted_at_ms: 1,
             ended_at_ms: None,
         };
-        let update = ViewUpdate { reset: true, upto: 5, workers: vec![worker(worker_at)], jobs: vec![job], starts: vec![order.clone()], ..Default::default() };
+        let update = ViewUpdate {
+            reset: true,
+            upto: 5,
+            workers: vec![worker(worker_at)],
+            jobs: vec![job],
+            starts: vec![order.clone()],
+            ..Default::default()
+        };
         s.send(SchedulerFrame::Update(update)).await;
         assert_eq!(starts.recv().await.unwrap(), order);
         let (mut start_told, mut drain_told) = (false, false);
@@ -171,7 +182,10 @@
         assert!(raw(at, "GET /v1/nothing", "").await.starts_with("HTTP/1.1 404"));
         assert!(raw(at, "GET /healthz", "").await.contains(r#""node":"g1""#));
         let page = raw(at, "GET /metrics", "").await;
-        assert!(page.contains("process_resident_memory_bytes") && page.contains("gateway_calls_total{call=\"SubmitJob\",status=\"201\"}"), "{page}");
+        assert!(
+            page.contains("process_resident_memory_bytes") && page.contains("gateway_calls_total{call=\"SubmitJob\",status=\"201\"}"),
+            "{page}"
+        );
 
         // Reads come from the view while pulses come back; what is forwarded is answered with an error.
         let scheduler = tokio::spawn(async move {
--- a/crates/lifetime-placement/src/band_chart.rs
+++ b/crates/lifetime-placement/src/band_chart.rs
@@ -30,21 +30,10 @@
 
     /// Reads a chart.
     pub fn parse(text: &str) -> Result<Self, PlacementError> {
-        let file: ChartFile =
-            serde_json::from_str(text).context(crate::placement_error::MalformedChartSnafu)?;
-        let arrows = file
-            .states
-            .into_iter()
-            .flat_map(|(s, arrows)| {
-                arrows
-                    .into_iter()
-                    .map(move |(e, a)| ((s, e), (a.next, a.effects)))
-            })
-            .collect();
-        Ok(Self {
-            initial: file.initial,
-            arrows,
-        })
+        let file: ChartFile = serde_json::from_str(text).context(crate::placement_error::MalformedChartSnafu)?;
+        let arrows =
+            file.states.into_iter().flat_map(|(s, arrows)| arrows.into_iter().map(move |(e, a)| ((s, e), (a.next, a.effects)))).collect();
+        Ok(Self { initial: file.initial, arrows })
     }
 
     /// The state of a worker that was just added.
@@ -53,13 +42,7 @@
     }
 
     /// Next state and effects; None if the event changes nothing in this state.
-    pub fn next(
-        &self,
-        state: WorkerBandState,
-        event: BandEvent,
-    ) -> Option<(WorkerBandState, &[BandEffect])> {
-        self.arrows
-            .get(&(state, event))
-            .map(|(next, effects)| (*next, effects.as_slice()))
+    pub fn next(&self, state: WorkerBandState, event: BandEvent) -> Option<(WorkerBandState, &[BandEffect])> {
+        self.arrows.get(&(state, event)).map(|(next, effects)| (*next, effects.as_slice()))
     }
 }
--- a/crates/lifetime-placement/src/bin/placement-replay/comparison.rs
+++ b/crates/lifetime-placement/src/bin/placement-replay/comparison.rs
@@ -24,16 +24,8 @@
 
 impl Contender {
     /// All of them.
-    pub const ALL: [Self; 8] = [
-        Self::FirstFit,
-        Self::BestFit,
-        Self::Las,
-        Self::Lava,
-        Self::LavaLevel,
-        Self::LavaOneShot,
-        Self::LasOracle,
-        Self::LavaOracle,
-    ];
+    pub const ALL: [Self; 8] =
+        [Self::FirstFit, Self::BestFit, Self::Las, Self::Lava, Self::LavaLevel, Self::LavaOneShot, Self::LasOracle, Self::LavaOracle];
     /// Those that go by learned predictions.
     pub const LEARNED: [Self; 4] = [Self::Las, Self::Lava, Self::LavaLevel, Self::LavaOneShot];
 }
@@ -60,16 +52,8 @@
         wrong: f64,
         seeds: &[u64],
     ) -> Result<Self, ReplayError> {
-        let reports = seeds
-            .iter()
-            .map(|s| Self::replay(contender, shape, settings, wrong, *s))
-            .collect::<Result<_, _>>();
-        Ok(Self {
-            fleet: shape.name,
-            contender,
-            wrong,
-            reports: reports.context(PlacementSnafu)?,
-        })
+        let reports = seeds.iter().map(|s| Self::replay(contender, shape, settings, wrong, *s)).collect::<Result<_, _>>();
+        Ok(Self { fleet: shape.name, contender, wrong, reports: reports.context(PlacementSnafu)? })
     }
 
     fn replay(
@@ -84,24 +68,15 @@
         let oracle = || trace.mistaken(trace.oracle(), wrong, seed);
         let (t, s) = (&trace, settings);
         match contender {
-            Contender::FirstFit => {
-                Replay::run(t, shape, s, trace.oracle(), PlacementStrategy::FirstFit)
-            }
-            Contender::BestFit => {
-                Replay::run(t, shape, s, trace.oracle(), PlacementStrategy::BestFit)
-            }
+            Contender::FirstFit => Replay::run(t, shape, s, trace.oracle(), PlacementStrategy::FirstFit),
+            Contender::BestFit => Replay::run(t, shape, s, trace.oracle(), PlacementStrategy::BestFit),
             Contender::Las => Replay::run(t, shape, s, learned, PlacementStrategy::Las),
             Contender::Lava => Replay::run(t, shape, s, learned, PlacementStrategy::Lava),
             Contender::LavaLevel => {
-                let level = PlacementSettings {
-                    near_recycling_first: false,
-                    ..s.clone()
-                };
+                let level = PlacementSettings { near_recycling_first: false, ..s.clone() };
                 Replay::run(t, shape, &level, learned, PlacementStrategy::Lava)
             }
-            Contender::LavaOneShot => {
-                Replay::run(t, shape, s, OneShot::new(learned), PlacementStrategy::Lava)
-            }
+            Contender::LavaOneShot => Replay::run(t, shape, s, OneShot::new(learned), PlacementStrategy::Lava),
             Contender::LasOracle => Replay::run(t, shape, s, oracle(), PlacementStrategy::Las),
             Contender::LavaOracle => Replay::run(t, shape, s, oracle(), PlacementStrategy::Lava),
         }
--- a/crates/lifetime-placement/src/bin/placement-replay/main.rs
+++ b/crates/lifetime-placement/src/bin/placement-replay/main.rs
@@ -16,10 +16,7 @@
     say(Comparison::HEADING)?;
     for shape in &asked.fleets {
         let plain = Contender::ALL.map(|c| (c, 0.0));
-        let wrong = asked
-            .wrong
-            .iter()
-            .flat_map(|w| Contender::LEARNED.map(|c| (c, *w)));
+        let wrong = asked.wrong.iter().flat_map(|w| Contender::LEARNED.map(|c| (c, *w)));
         for (contender, share) in plain.into_iter().chain(wrong) {
             let c = Comparison::measure(contender, shape, &asked.settings, share, &asked.seeds)?;
             say(&c.row())?;
@@ -27,10 +24,7 @@
         }
     }
     let sizes: &[u32] = if asked.times { &[50, 550, 5_500] } else { &[] };
-    let timings = sizes
-        .iter()
-        .map(|n| Timing::measure(*n, &asked.settings))
-        .collect::<Result<Vec<_>, _>>()?;
+    let timings = sizes.iter().map(|n| Timing::measure(*n, &asked.settings)).collect::<Result<Vec<_>, _>>()?;
     for t in &timings {
         say(&format!("{t:?}"))?;
     }
--- a/crates/lifetime-placement/src/bin/placement-replay/prelude.rs
+++ b/crates/lifetime-placement/src/bin/placement-replay/prelude.rs
@@ -12,8 +12,7 @@
 pub use crate::comparison::{Comparison, Contender};
 pub use crate::invocation::Invocation;
 pub use crate::replay_error::{
-    EncodeReportSnafu, FlagsSnafu, HistogramSnafu, NumberSnafu, PlacementSnafu, ReplayError,
-    UnknownFleetSnafu, WriteReportSnafu,
+    EncodeReportSnafu, FlagsSnafu, HistogramSnafu, NumberSnafu, PlacementSnafu, ReplayError, UnknownFleetSnafu, WriteReportSnafu,
 };
 pub use crate::spread::Spread;
 pub use crate::timing::Timing;
--- a/crates/lifetime-placement/src/bin/placement-replay/timing.rs
+++ b/crates/lifetime-placement/src/bin/placement-replay/timing.rs
@@ -29,22 +29,12 @@
 
     /// Measures on so many workers.
     pub fn measure(workers: u32, settings: &PlacementSettings) -> Result<Self, ReplayError> {
-        let shape = FleetShape {
-            length: 200.0,
-            ..FleetShape::new("timing", 48, 64)
-        };
+        let shape = FleetShape { length: 200.0, ..FleetShape::new("timing", 48, 64) };
         let trace = Trace::generate(&shape, settings.class_bounds_ms[0], 1);
         let mut learned = LearnedDistributions::new(settings);
-        trace
-            .tasks()
-            .for_each(|(t, lifetime)| learned.learn(&t.features, *lifetime, false));
-        let mut fleet = FleetBands::new(settings.clone(), learned, PlacementStrategy::Lava)
-            .context(PlacementSnafu)?;
-        let small: Vec<TaskToPlace> = trace
-            .tasks()
-            .map(|(t, _)| *t)
-            .filter(|t| t.room.cpu_millis <= 1_000)
-            .collect();
+        trace.tasks().for_each(|(t, lifetime)| learned.learn(&t.features, *lifetime, false));
+        let mut fleet = FleetBands::new(settings.clone(), learned, PlacementStrategy::Lava).context(PlacementSnafu)?;
+        let small: Vec<TaskToPlace> = trace.tasks().map(|(t, _)| *t).filter(|t| t.room.cpu_millis <= 1_000).collect();
         let mut all = small.iter().cycle();
         let mut key = 0;
         let (mut place, mut now) = (Self::histogram()?, 0);
@@ -53,20 +43,16 @@
         }
         let mut next = || {
             key += 1;
-            all.next()
-                .map(|t| TaskToPlace::new(key, t.features.queue, t.features.kind, t.room, false))
+            all.next().map(|t| TaskToPlace::new(key, t.features.queue, t.features.kind, t.room, false))
         };
         for n in 0..workers * Self::TASKS {
             now += 1;
             let Some(task) = next() else { break };
             let start = Instant::now();
-            fleet
-                .task_placed(now, n % workers, &task)
-                .context(PlacementSnafu)?;
+            fleet.task_placed(now, n % workers, &task).context(PlacementSnafu)?;
             place.saturating_record(start.elapsed().as_nanos() as u64);
         }
-        let (mut predict, mut assign, mut tick) =
-            (Self::histogram()?, Self::histogram()?, Self::histogram()?);
+        let (mut predict, mut assign, mut tick) = (Self::histogram()?, Self::histogram()?, Self::histogram()?);
         // Many predictions to one reading of the clock, which costs as much as one of them.
         const BATCH: u64 = 64;
         for n in 0..Self::CALLS {
@@ -74,10 +60,7 @@
             let start = Instant::now();
             let mut sum = 0;
             for k in 0..BATCH {
-                sum += fleet
-                    .predictor()
-                    .remaining_ms(&task.features, n * k * 10)
-                    .expected_ms;
+                sum += fleet.predictor().remaining_ms(&task.features, n * k * 10).expected_ms;
             }
             std::hint::black_box(sum);
             predict.saturating_record(start.elapsed().as_nanos() as u64 / BATCH);
--- a/crates/lifetime-placement/src/fleet_bands.rs
+++ b/crates/lifetime-placement/src/fleet_bands.rs
@@ -36,20 +36,8 @@
 
 impl<P: LifetimePredictor, S: RankWorkers> FleetBands<P, S> {
     /// No workers yet.
-    pub fn new(
-        settings: PlacementSettings,
-        predictor: P,
-        strategy: S,
-    ) -> Result<Self, PlacementError> {
-        Ok(Self {
-            settings,
-            chart: BandChart::embedded()?,
-            predictor,
-            strategy,
-            workers: Vec::new(),
-            due: BTreeSet::new(),
-            now: 0,
-        })
+    pub fn new(settings: PlacementSettings, predictor: P, strategy: S) -> Result<Self, PlacementError> {
+        Ok(Self { settings, chart: BandChart::embedded()?, predictor, strategy, workers: Vec::new(), due: BTreeSet::new(), now: 0 })
     }
 
     /// The settings.
@@ -69,10 +57,7 @@
 
     /// All workers by index.
     pub fn workers(&self) -> impl Iterator<Item = (WorkerIndex, &WorkerSlot)> {
-        self.workers
-            .iter()
-            .enumerate()
-            .filter_map(|(i, w)| Some((i as WorkerIndex, w.as_ref()?)))
+        self.workers.iter().enumerate().filter_map(|(i, w)| Some((i as WorkerIndex, w.as_ref()?)))
     }
 
     /// Folds one event of the log.
@@ -80,15 +65,9 @@
         match *event {
             PlacementEvent::WorkerAdded { worker, room } => self.worker_added(now, worker, room),
             PlacementEvent::WorkerRemoved { worker } => self.worker_removed(now, worker)?,
-            PlacementEvent::TaskPlaced { worker, ref task } => {
-                self.task_placed(now, worker, task)?
-            }
+            PlacementEvent::TaskPlaced { worker, ref task } => self.task_placed(now, worker, task)?,
             PlacementEvent::TaskStarted { worker, key } => self.task_started(now, worker, key)?,
-            PlacementEvent::TaskEnded {
-                worker,
-                key,
-                outcome,
-            } => self.task_ended(now, worker, key, outcome)?,
+            PlacementEvent::TaskEnded { worker, key, outcome } => self.task_ended(now, worker, key, outcome)?,
             PlacementEvent::Tick => self.tick(now),
         }
         Ok(())
@@ -109,11 +88,7 @@
 
     /// A worker is gone. Nothing is learned from what it held; the caller ends
     /// tasks first where an outcome is known.
-    pub fn worker_removed(
-        &mut self,
-        now: Millis,
-        worker: WorkerIndex,
-    ) -> Result<(), PlacementError> {
+    pub fn worker_removed(&mut self, now: Millis, worker: WorkerIndex) -> Result<(), PlacementError> {
         self.tick(now);
         let slot = self.workers.get_mut(worker as usize).and_then(Option::take);
         let slot = slot.context(UnknownWorkerSnafu { worker })?;
@@ -125,31 +100,17 @@
     }
 
     /// The intent to start a task on a worker: its room is charged from now on.
-    pub fn task_placed(
-        &mut self,
-        now: Millis,
-        worker: WorkerIndex,
-        task: &TaskToPlace,
-    ) -> Result<(), PlacementError> {
+    pub fn task_placed(&mut self, now: Millis, worker: WorkerIndex, task: &TaskToPlace) -> Result<(), PlacementError> {
         self.tick(now);
         let now = self.now;
         let slot = Self::slot(&mut self.workers, worker)?;
         let key = task.key;
-        ensure!(
-            !slot.tasks.contains_key(&key),
-            TaskAlreadyPlacedSnafu { worker, key }
-        );
+        ensure!(!slot.tasks.contains_key(&key), TaskAlreadyPlacedSnafu { worker, key });
         let before = slot.due();
         self.predictor.task_placed(&task.features);
         let remaining = self.predictor.remaining_ms(&task.features, 0).expected_ms;
         let exit = now.saturating_add(remaining);
-        let running = RunningTask {
-            features: task.features,
-            room: task.room,
-            placed_at: now,
-            started_at: now,
-            exit,
-        };
+        let running = RunningTask { features: task.features, room: task.room, placed_at: now, started_at: now, exit };
         slot.tasks.insert(key, running);
         slot.used = slot.used.add(task.room);
         slot.exit = slot.exit.max(Some(exit));
@@ -161,21 +122,9 @@
         let filled = cpu.max(memory) > (self.settings.fill_threshold * 1e6) as u64;
         let WorkerSlot { band, tasks, .. } = slot;
         let keys = || tasks.keys().copied().collect();
-        band.apply(
-            &self.chart,
-            &self.settings,
-            (now, BandEvent::TaskPlaced),
-            class,
-            keys,
-        );
+        band.apply(&self.chart, &self.settings, (now, BandEvent::TaskPlaced), class, keys);
         if filled {
-            band.apply(
-                &self.chart,
-                &self.settings,
-                (now, BandEvent::Filled),
-                class,
-                keys,
-            );
+            band.apply(&self.chart, &self.settings, (now, BandEvent::Filled), class, keys);
         }
         let after = slot.due();
         self.reschedule(worker, before, after);
@@ -184,61 +133,34 @@
 
     /// The first proof that a task runs. Its start is taken to lie between the
     /// intent and this proof, and no later than the set lateness behind the intent.
-    pub fn task_started(
-        &mut self,
-        now: Millis,
-        worker: WorkerIndex,
-        key: TaskKey,
-    ) -> Result<(), PlacementError> {
+    pub fn task_started(&mut self, now: Millis, worker: WorkerIndex, key: TaskKey) -> Result<(), PlacementError> {
         self.tick(now);
         let now = self.now;
         let late = self.settings.span_ms(self.settings.late_start_ratio);
         let slot = Self::slot(&mut self.workers, worker)?;
-        let task = slot
-            .tasks
-            .get_mut(&key)
-            .context(UnknownTaskSnafu { worker, key })?;
+        let task = slot.tasks.get_mut(&key).context(UnknownTaskSnafu { worker, key })?;
         task.started_at = now.min(task.placed_at.saturating_add(late));
         Ok(())
     }
 
     /// The proof that a task is gone: its room is free, its lifetime is learned.
-    pub fn task_ended(
-        &mut self,
-        now: Millis,
-        worker: WorkerIndex,
-        key: TaskKey,
-        outcome: TaskOutcome,
-    ) -> Result<(), PlacementError> {
+    pub fn task_ended(&mut self, now: Millis, worker: WorkerIndex, key: TaskKey, outcome: TaskOutcome) -> Result<(), PlacementError> {
         self.tick(now);
         let now = self.now;
         let slot = Self::slot(&mut self.workers, worker)?;
         let before = slot.due();
-        let task = slot
-            .tasks
-            .remove(&key)
-            .context(UnknownTaskSnafu { worker, key })?;
+        let task = slot.tasks.remove(&key).context(UnknownTaskSnafu { worker, key })?;
         slot.used = slot.used.sub(task.room);
         slot.refresh_exit();
         let WorkerSlot { band, tasks, .. } = slot;
-        let event = match (
-            tasks.is_empty(),
-            band.residuals.remove(&key),
-            band.residuals.is_empty(),
-        ) {
+        let event = match (tasks.is_empty(), band.residuals.remove(&key), band.residuals.is_empty()) {
             (true, ..) => Some(BandEvent::Emptied),
             (false, true, true) => Some(BandEvent::ResidualsGone),
             _ => None,
         };
         if let Some(event) = event {
             let keys = || tasks.keys().copied().collect();
-            band.apply(
-                &self.chart,
-                &self.settings,
-                (now, event),
-                LifetimeClass::SHORTEST,
-                keys,
-            );
+            band.apply(&self.chart, &self.settings, (now, event), LifetimeClass::SHORTEST, keys);
         }
         if slot.tasks.is_empty() {
             slot.repredict_at = FOREVER;
@@ -249,9 +171,7 @@
         let lifetime = now.saturating_sub(task.started_at);
         match outcome {
             TaskOutcome::Finished => self.predictor.learn(&task.features, lifetime, false),
-            TaskOutcome::Failed | TaskOutcome::Stopped => {
-                self.predictor.learn(&task.features, lifetime, true)
-            }
+            TaskOutcome::Failed | TaskOutcome::Stopped => self.predictor.learn(&task.features, lifetime, true),
             TaskOutcome::NeverStarted => {}
         }
         Ok(())
@@ -261,18 +181,9 @@
     /// Log time never goes back; an earlier `now` counts as the latest seen.
     pub fn tick(&mut self, now: Millis) {
         self.now = self.now.max(now);
-        while let Some((when, worker)) = self
-            .due
-            .first()
-            .copied()
-            .filter(|(when, _)| *when <= self.now)
-        {
+        while let Some((when, worker)) = self.due.first().copied().filter(|(when, _)| *when <= self.now) {
             self.due.pop_first();
-            if let Some(slot) = self
-                .workers
-                .get_mut(worker as usize)
-                .and_then(Option::as_mut)
-            {
+            if let Some(slot) = self.workers.get_mut(worker as usize).and_then(Option::as_mut) {
                 if slot.band.time_budget_ends <= when {
                     let WorkerSlot { band, tasks, .. } = slot;
                     let keys = || tasks.keys().copied().collect();
@@ -285,9 +196,7 @@
                     let at = slot.repredict_at + (self.now - slot.repredict_at) / period * period;
                     for t in slot.tasks.values_mut() {
                         let uptime = at.saturating_sub(t.started_at);
-                        t.exit = at.saturating_add(
-                            self.predictor.remaining_ms(&t.features, uptime).expected_ms,
-                        );
+                        t.exit = at.saturating_add(self.predictor.remaining_ms(&t.features, uptime).expected_ms);
                     }
                     slot.refresh_exit();
                     slot.repredict_at = at + period;
@@ -302,12 +211,7 @@
     /// The best worker for a task among those that have room and are eligible
     /// (kind, zone, drain and the like are the caller's to judge). It ranks the
     /// bands as they were folded last, so call [`Self::tick`] with `now` before.
-    pub fn assign(
-        &self,
-        now: Millis,
-        task: &TaskToPlace,
-        eligible: impl Fn(WorkerIndex) -> bool,
-    ) -> Option<WorkerIndex> {
+    pub fn assign(&self, now: Millis, task: &TaskToPlace, eligible: impl Fn(WorkerIndex) -> bool) -> Option<WorkerIndex> {
         let asked = self.asked(now, task);
         self.workers()
             .filter(|(i, w)| task.room.fits(w.free()) && eligible(*i))
@@ -326,12 +230,7 @@
         eligible: impl Fn(usize, WorkerIndex) -> bool,
     ) -> Option<Vec<WorkerIndex>> {
         let mut order: Vec<usize> = (0..tasks.len()).collect();
-        order.sort_by_key(|i| {
-            (
-                Reverse(tasks[*i].room.cpu_millis.max(tasks[*i].room.memory_mb)),
-                *i,
-            )
-        });
+        order.sort_by_key(|i| (Reverse(tasks[*i].room.cpu_millis.max(tasks[*i].room.memory_mb)), *i));
         let mut touched: BTreeMap<WorkerIndex, WorkerSlot> = BTreeMap::new();
         let mut places = vec![0; tasks.len()];
         for n in order {
@@ -350,13 +249,7 @@
             let (room, class, exit) = asked;
             slot.used = slot.used.add(room);
             slot.exit = slot.exit.max(Some(exit));
-            slot.band.apply(
-                &self.chart,
-                &self.settings,
-                (now, BandEvent::TaskPlaced),
-                class,
-                BTreeSet::new,
-            );
+            slot.band.apply(&self.chart, &self.settings, (now, BandEvent::TaskPlaced), class, BTreeSet::new);
             places[n] = i;
         }
         Some(places)
@@ -365,17 +258,10 @@
     /// Room, class and exit a task is ranked by.
     fn asked(&self, now: Millis, task: &TaskToPlace) -> (Room, LifetimeClass, Millis) {
         let remaining = self.predictor.remaining_ms(&task.features, 0).expected_ms;
-        (
-            task.room,
-            self.settings.class_of(remaining),
-            now.saturating_add(remaining),
-        )
+        (task.room, self.settings.class_of(remaining), now.saturating_add(remaining))
     }
 
-    fn slot(
-        workers: &mut [Option<WorkerSlot>],
-        worker: WorkerIndex,
-    ) -> Result<&mut WorkerSlot, PlacementError> {
+    fn slot(workers: &mut [Option<WorkerSlot>], worker: WorkerIndex) -> Result<&mut WorkerSlot, PlacementError> {
         let slot = workers.get_mut(worker as usize).and_then(Option::as_mut);
         slot.context(UnknownWorkerSnafu { worker })
     }
@@ -405,13 +291,8 @@
     }
 
     /// The state from its bytes, under the settings and strategy now in force.
-    pub fn decode(
-        settings: PlacementSettings,
-        strategy: S,
-        bytes: &[u8],
-    ) -> Result<Self, PlacementError> {
-        let (workers, now, predictor): Saved<P> =
-            minicbor::decode(bytes).context(MalformedStateSnafu)?;
+    pub fn decode(settings: PlacementSettings, strategy: S, bytes: &[u8]) -> Result<Self, PlacementError> {
+        let (workers, now, predictor): Saved<P> = minicbor::decode(bytes).context(MalformedStateSnafu)?;
         let mut fleet = Self::new(settings, predictor, strategy)?;
         fleet.due = workers
             .iter()
--- a/crates/lifetime-placement/src/fleet_shape.rs
+++ b/crates/lifetime-placement/src/fleet_shape.rs
@@ -22,14 +22,6 @@
 impl FleetShape {
     /// A fleet of 16-core workers with so many gigabytes each.
     pub const fn new(name: &'static str, workers: u32, memory_gb: u64) -> Self {
-        Self {
-            name,
-            workers,
-            room: Room::new(16_000, memory_gb * 1_024),
-            load: 0.6,
-            swing: 0.25,
-            period: 1_440.0,
-            length: 4_320.0,
-        }
+        Self { name, workers, room: Room::new(16_000, memory_gb * 1_024), load: 0.6, swing: 0.25, period: 1_440.0, length: 4_320.0 }
     }
 }
--- a/crates/lifetime-placement/src/learned_distributions.rs
+++ b/crates/lifetime-placement/src/learned_distributions.rs
@@ -82,11 +82,7 @@
     fn touch(&mut self, key: FeatureKey) -> &mut LifetimeHistogram {
         self.sequence += 1;
         if !self.keys.contains_key(&key) && self.keys.len() as u64 >= self.most_keys {
-            let oldest = self
-                .keys
-                .iter()
-                .min_by_key(|(_, (age, _))| *age)
-                .map(|(k, _)| *k);
+            let oldest = self.keys.iter().min_by_key(|(_, (age, _))| *age).map(|(k, _)| *k);
             oldest.and_then(|k| self.keys.remove(&k));
         }
         let entry = self.keys.entry(key).or_default();
@@ -107,10 +103,7 @@
             .filter_map(|(_, h)| h.remaining(uptime))
             .find(|(_, survivors)| *survivors >= self.least_samples / 4.0);
         match known {
-            Some((expected_ms, samples)) => Prediction {
-                expected_ms,
-                samples,
-            },
+            Some((expected_ms, samples)) => Prediction { expected_ms, samples },
             // Nothing outlived it: it may last as long again as it has lasted.
             None => Prediction::fallback(self.cold_start_ms.max(uptime)),
         }
@@ -122,8 +115,7 @@
         }
         for level in 0..Self::LEVELS {
             let most = self.most_weight;
-            self.touch(Self::key(level, features))
-                .record(lifetime_ms, censored, most);
+            self.touch(Self::key(level, features)).record(lifetime_ms, censored, most);
         }
     }
 }
--- a/crates/lifetime-placement/src/lifetime_class.rs
+++ b/crates/lifetime-placement/src/lifetime_class.rs
@@ -1,9 +1,7 @@
 use crate::prelude::*;
 
 /// Lifetime class of a task or worker, 1 (shortest) to 4 (longest).
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
 #[cbor(transparent)]
 pub struct LifetimeClass(#[n(0)] u8);
 
--- a/crates/lifetime-placement/src/lifetime_histogram.rs
+++ b/crates/lifetime-placement/src/lifetime_histogram.rs
@@ -67,21 +67,13 @@
         if survivors <= 0.0 {
             return None;
         }
-        let mut at_risk: f64 = tail
-            .iter()
-            .enumerate()
-            .map(|(k, b)| (b.0 + b.2) * share(k))
-            .sum();
+        let mut at_risk: f64 = tail.iter().enumerate().map(|(k, b)| (b.0 + b.2) * share(k)).sum();
         let (mut alive, mut expected, mut last) = (1.0, 0.0, up);
         for (k, b) in tail.iter().enumerate().filter(|(_, b)| b.0 + b.2 > 0.0) {
             let (ended, cut) = (b.0 * share(k), b.2 * share(k));
             if b.0 > 0.0 && at_risk > 0.0 {
                 let mean = b.1 / b.0;
-                let mean = if k == 0 {
-                    mean.max((up + hi) / 2.0)
-                } else {
-                    mean
-                };
+                let mean = if k == 0 { mean.max((up + hi) / 2.0) } else { mean };
                 let hazard = (ended / at_risk).min(1.0);
                 expected += alive * hazard * mean;
                 alive *= 1.0 - hazard;
--- a/crates/lifetime-placement/src/mistaken.rs
+++ b/crates/lifetime-placement/src/mistaken.rs
@@ -16,10 +16,7 @@
 
 impl<P: LifetimePredictor> LifetimePredictor for Mistaken<P> {
     fn remaining_ms(&self, features: &TaskFeatures, uptime: Millis) -> Prediction {
-        self.inner.remaining_ms(
-            self.taken_for.get(&features.task).unwrap_or(features),
-            uptime,
-        )
+        self.inner.remaining_ms(self.taken_for.get(&features.task).unwrap_or(features), uptime)
     }
 
     fn learn(&mut self, features: &TaskFeatures, lifetime_ms: Millis, censored: bool) {
@@ -27,12 +24,10 @@
     }
 
     fn task_placed(&mut self, features: &TaskFeatures) {
-        self.inner
-            .task_placed(self.taken_for.get(&features.task).unwrap_or(features));
+        self.inner.task_placed(self.taken_for.get(&features.task).unwrap_or(features));
     }
 
     fn task_gone(&mut self, features: &TaskFeatures) {
-        self.inner
-            .task_gone(self.taken_for.get(&features.task).unwrap_or(features));
+        self.inner.task_gone(self.taken_for.get(&features.task).unwrap_or(features));
     }
 }
--- a/crates/lifetime-placement/src/one_shot.rs
+++ b/crates/lifetime-placement/src/one_shot.rs
@@ -10,10 +10,7 @@
 impl<P: LifetimePredictor> OneShot<P> {
     /// Wraps a predictor.
     pub const fn new(inner: P) -> Self {
-        Self {
-            inner,
-            frozen: BTreeMap::new(),
-        }
+        Self { inner, frozen: BTreeMap::new() }
     }
 }
 
@@ -25,10 +22,7 @@
         };
         match features.until_cancelled {
             true => first,
-            false => Prediction {
-                expected_ms: first.expected_ms.saturating_sub(uptime),
-                ..first
-            },
+            false => Prediction { expected_ms: first.expected_ms.saturating_sub(uptime), ..first },
         }
     }
 
--- a/crates/lifetime-placement/src/oracle.rs
+++ b/crates/lifetime-placement/src/oracle.rs
@@ -9,9 +9,7 @@
 impl Oracle {
     /// An oracle over the true lifetimes.
     pub fn new(lifetimes: impl IntoIterator<Item = (TaskKey, Millis)>) -> Self {
-        Self {
-            lifetimes: lifetimes.into_iter().collect(),
-        }
+        Self { lifetimes: lifetimes.into_iter().collect() }
     }
 }
 
@@ -19,11 +17,7 @@
     fn remaining_ms(&self, features: &TaskFeatures, uptime: Millis) -> Prediction {
         let whole = match features.until_cancelled {
             true => FOREVER,
-            false => self
-                .lifetimes
-                .get(&features.task)
-                .copied()
-                .unwrap_or_default(),
+            false => self.lifetimes.get(&features.task).copied().unwrap_or_default(),
         };
         Prediction::certain(whole.saturating_sub(uptime))
     }
--- a/crates/lifetime-placement/src/placement_settings.rs
+++ b/crates/lifetime-placement/src/placement_settings.rs
@@ -84,11 +84,7 @@
 
     /// Temporal cost: the bucket that a prolongation of a worker's exit falls into.
     pub fn temporal_cost(&self, delta: Millis) -> u8 {
-        let below = self
-            .las_buckets
-            .iter()
-            .take_while(|r| self.span_ms(**r) <= delta)
-            .count();
+        let below = self.las_buckets.iter().take_while(|r| self.span_ms(**r) <= delta).count();
         below.saturating_sub(1) as u8
     }
 }
--- a/crates/lifetime-placement/src/prediction.rs
+++ b/crates/lifetime-placement/src/prediction.rs
@@ -12,17 +12,11 @@
 impl Prediction {
     /// A prediction that rests on no observation.
     pub const fn fallback(expected_ms: Millis) -> Self {
-        Self {
-            expected_ms,
-            samples: 0.0,
-        }
+        Self { expected_ms, samples: 0.0 }
     }
 
     /// A prediction known for certain.
     pub const fn certain(expected_ms: Millis) -> Self {
-        Self {
-            expected_ms,
-            samples: f64::INFINITY,
-        }
+        Self { expected_ms, samples: f64::INFINITY }
     }
 }
--- a/crates/lifetime-placement/src/prelude.rs
+++ b/crates/lifetime-placement/src/prelude.rs
@@ -24,10 +24,7 @@
 pub use crate::mistaken::Mistaken;
 pub use crate::one_shot::OneShot;
 pub use crate::oracle::Oracle;
-pub use crate::placement_error::{
-    MalformedStateSnafu, PlacementError, TaskAlreadyPlacedSnafu, UnknownTaskSnafu,
-    UnknownWorkerSnafu,
-};
+pub use crate::placement_error::{MalformedStateSnafu, PlacementError, TaskAlreadyPlacedSnafu, UnknownTaskSnafu, UnknownWorkerSnafu};
 pub use crate::placement_event::PlacementEvent;
 pub use crate::placement_settings::PlacementSettings;
 pub use crate::placement_strategy::PlacementStrategy;
--- a/crates/lifetime-placement/src/rank_workers.rs
+++ b/crates/lifetime-placement/src/rank_workers.rs
@@ -6,11 +6,5 @@
 /// Scores a worker that has room for a task.
 pub trait RankWorkers {
     /// The score of `worker` for a task of `room` and `class` with exit at `exit`.
-    fn score<W: WorkerView>(
-        &self,
-        settings: &PlacementSettings,
-        now: Millis,
-        task: (Room, LifetimeClass, Millis),
-        worker: &W,
-    ) -> Score;
+    fn score<W: WorkerView>(&self, settings: &PlacementSettings, now: Millis, task: (Room, LifetimeClass, Millis), worker: &W) -> Score;
 }
--- a/crates/lifetime-placement/src/replay.rs
+++ b/crates/lifetime-placement/src/replay.rs
@@ -69,12 +69,7 @@
     }
 
     fn end_until(&mut self, now: Millis, warm: Millis) -> Result<(), PlacementError> {
-        while let Some(Reverse((at, key, worker))) = self
-            .ends
-            .peek()
-            .copied()
-            .filter(|Reverse((at, ..))| *at <= now)
-        {
+        while let Some(Reverse((at, key, worker))) = self.ends.peek().copied().filter(|Reverse((at, ..))| *at <= now) {
             self.ends.pop();
             self.end_of.remove(&key);
             let outcome = match self.until_cancelled.remove(&key) {
@@ -95,12 +90,7 @@
         Ok(())
     }
 
-    fn place(
-        &mut self,
-        arrival: &TraceArrival,
-        now: Millis,
-        warm: Millis,
-    ) -> Result<bool, PlacementError> {
+    fn place(&mut self, arrival: &TraceArrival, now: Millis, warm: Millis) -> Result<bool, PlacementError> {
         let places = match arrival.tasks.as_slice() {
             [(task, _)] => self.fleet.assign(now, task, |_| true).map(|w| vec![w]),
             gang => {
@@ -112,11 +102,7 @@
             return Ok(false);
         };
         for ((task, lifetime), worker) in arrival.tasks.iter().zip(places) {
-            self.opened += u64::from(
-                self.fleet
-                    .worker(worker)
-                    .is_some_and(|w| w.tasks().is_empty()),
-            );
+            self.opened += u64::from(self.fleet.worker(worker).is_some_and(|w| w.tasks().is_empty()));
             self.fleet.task_placed(now, worker, task)?;
             self.ends.push(Reverse((now + lifetime, task.key, worker)));
             self.end_of.insert(task.key, now + lifetime);
@@ -140,15 +126,8 @@
         for (_, w) in self.fleet.workers() {
             empty += f64::from(u8::from(w.tasks().is_empty()));
             tasks += w.tasks().len() as f64;
-            let own = w
-                .tasks()
-                .keys()
-                .filter(|k| !self.until_cancelled.contains(k));
-            let last = own
-                .filter_map(|k| self.end_of.get(k))
-                .max()
-                .copied()
-                .unwrap_or(now);
+            let own = w.tasks().keys().filter(|k| !self.until_cancelled.contains(k));
+            let last = own.filter_map(|k| self.end_of.get(k)).max().copied().unwrap_or(now);
             drain += last.saturating_sub(now) as f64 / 1e3;
             used = used.add(w.used());
             whole = whole.add(w.room());
@@ -182,8 +161,7 @@
         ] {
             *sum /= self.samples.max(1.0);
         }
-        let mean =
-            |(number, sum, _): (u64, Millis, Millis)| sum as f64 / 1e3 / number.max(1) as f64;
+        let mean = |(number, sum, _): (u64, Millis, Millis)| sum as f64 / 1e3 / number.max(1) as f64;
         let [gangs, singles] = self.waits;
         r.gang_wait_s = mean(gangs);
         r.gang_wait_most_s = gangs.2 as f64 / 1e3;
--- a/crates/lifetime-placement/src/room.rs
+++ b/crates/lifetime-placement/src/room.rs
@@ -9,21 +9,7 @@
 /// assert!(task.fits(worker));
 /// assert_eq!(worker.sub(task).add(task), worker);
 /// ```
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Encode,
-    Decode,
-    Serialize,
-    Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
 pub struct Room {
     /// Thousandths of a core.
     #[n(0)]
@@ -36,26 +22,17 @@
 impl Room {
     /// A room of so many thousandths of a core and megabytes.
     pub const fn new(cpu_millis: u64, memory_mb: u64) -> Self {
-        Self {
-            cpu_millis,
-            memory_mb,
-        }
+        Self { cpu_millis, memory_mb }
     }
 
     /// Sum of two rooms.
     pub const fn add(self, other: Self) -> Self {
-        Self::new(
-            self.cpu_millis.saturating_add(other.cpu_millis),
-            self.memory_mb.saturating_add(other.memory_mb),
-        )
+        Self::new(self.cpu_millis.saturating_add(other.cpu_millis), self.memory_mb.saturating_add(other.memory_mb))
     }
 
     /// What is left of `self` without `other`; never below zero.
     pub const fn sub(self, other: Self) -> Self {
-        Self::new(
-            self.cpu_millis.saturating_sub(other.cpu_millis),
-            self.memory_mb.saturating_sub(other.memory_mb),
-        )
+        Self::new(self.cpu_millis.saturating_sub(other.cpu_millis), self.memory_mb.saturating_sub(other.memory_mb))
     }
 
     /// Whether `self` fits into `free` in both dimensions.
@@ -65,14 +42,7 @@
 
     /// Share of `whole` in each dimension, in millionths; an empty dimension counts as full.
     pub fn shares_ppm(self, whole: Self) -> (u64, u64) {
-        let share = |part: u64, whole: u64| {
-            part.saturating_mul(1_000_000)
-                .checked_div(whole)
-                .unwrap_or(1_000_000)
-        };
-        (
-            share(self.cpu_millis, whole.cpu_millis),
-            share(self.memory_mb, whole.memory_mb),
-        )
+        let share = |part: u64, whole: u64| part.saturating_mul(1_000_000).checked_div(whole).unwrap_or(1_000_000);
+        (share(self.cpu_millis, whole.cpu_millis), share(self.memory_mb, whole.memory_mb))
     }
 }
--- a/crates/lifetime-placement/src/task_to_place.rs
+++ b/crates/lifetime-placement/src/task_to_place.rs
@@ -16,24 +16,8 @@
 
 impl TaskToPlace {
     /// A task of a queue and kind that takes `room`.
-    pub const fn new(
-        key: TaskKey,
-        queue: u64,
-        kind: u64,
-        room: Room,
-        until_cancelled: bool,
-    ) -> Self {
-        let features = TaskFeatures {
-            task: key,
-            queue,
-            kind,
-            shape: room,
-            until_cancelled,
-        };
-        Self {
-            key,
-            features,
-            room,
-        }
+    pub const fn new(key: TaskKey, queue: u64, kind: u64, room: Room, until_cancelled: bool) -> Self {
+        let features = TaskFeatures { task: key, queue, kind, shape: room, until_cancelled };
+        Self { key, features, room }
     }
 }
--- a/crates/lifetime-placement/src/trace.rs
+++ b/crates/lifetime-placement/src/trace.rs
@@ -25,9 +25,7 @@
         // Mean demand of one arrival, as a share of the fleet for one first class bound.
         let whole = (shape.room.cpu_millis as f64, shape.room.memory_mb as f64);
         let demand = |part: fn(Room) -> u64, whole: f64| -> f64 {
-            let one = |k: &TraceKind| {
-                k.weight / weights * k.mean() * f64::from(k.gang) * part(k.room) as f64
-            };
+            let one = |k: &TraceKind| k.weight / weights * k.mean() * f64::from(k.gang) * part(k.room) as f64;
             TraceKind::MIX.iter().map(one).sum::<f64>() / (whole * f64::from(shape.workers))
         };
         let tighter = demand(|r| r.cpu_millis, whole.0).max(demand(|r| r.memory_mb, whole.1));
@@ -53,21 +51,12 @@
             let tasks = (0..kind.gang)
                 .map(|_| {
                     key += 1;
-                    (
-                        TaskToPlace::new(key, kind.queue, number, kind.room, kind.until_cancelled),
-                        lifetime,
-                    )
+                    (TaskToPlace::new(key, kind.queue, number, kind.room, kind.until_cancelled), lifetime)
                 })
                 .collect();
-            arrivals.push(TraceArrival {
-                at: (t * first_bound as f64) as Millis,
-                tasks,
-            });
-        }
-        Self {
-            arrivals,
-            length: (shape.length * first_bound as f64) as Millis,
+            arrivals.push(TraceArrival { at: (t * first_bound as f64) as Millis, tasks });
         }
+        Self { arrivals, length: (shape.length * first_bound as f64) as Millis }
     }
 
     /// All tasks with their true lifetimes.
--- a/crates/lifetime-placement/src/worker_band.rs
+++ b/crates/lifetime-placement/src/worker_band.rs
@@ -20,12 +20,7 @@
 impl WorkerBand {
     /// The band of a worker that was just added.
     pub const fn new(state: WorkerBandState) -> Self {
-        Self {
-            state,
-            class: LifetimeClass::SHORTEST,
-            time_budget_ends: FOREVER,
-            residuals: BTreeSet::new(),
-        }
+        Self { state, class: LifetimeClass::SHORTEST, time_budget_ends: FOREVER, residuals: BTreeSet::new() }
     }
 
     /// Follows the chart on one event. `tasks` are those on the worker now;
--- a/crates/lifetime-placement/src/worker_band_state.rs
+++ b/crates/lifetime-placement/src/worker_band_state.rs
@@ -1,21 +1,7 @@
 use crate::prelude::*;
 
 /// State of a worker's band.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Encode,
-    Decode,
-    Serialize,
-    Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
 #[cbor(index_only)]
 #[serde(rename_all = "snake_case")]
 pub enum WorkerBandState {
--- a/crates/lifetime-placement/src/worker_slot.rs
+++ b/crates/lifetime-placement/src/worker_slot.rs
@@ -21,14 +21,7 @@
 
 impl WorkerSlot {
     pub(crate) const fn new(room: Room, state: WorkerBandState) -> Self {
-        Self {
-            room,
-            used: Room::new(0, 0),
-            band: WorkerBand::new(state),
-            tasks: BTreeMap::new(),
-            exit: None,
-            repredict_at: FOREVER,
-        }
+        Self { room, used: Room::new(0, 0), band: WorkerBand::new(state), tasks: BTreeMap::new(), exit: None, repredict_at: FOREVER }
     }
 
     /// The worker's band.
--- a/crates/lifetime-placement/tests/band_transitions.rs
+++ b/crates/lifetime-placement/tests/band_transitions.rs
@@ -8,11 +8,7 @@
 impl LifetimePredictor for ByKind {
     fn remaining_ms(&self, f: &TaskFeatures, uptime: Millis) -> Prediction {
         let whole = if f.until_cancelled { FOREVER } else { f.kind };
-        Prediction::certain(if uptime < whole {
-            whole - uptime
-        } else {
-            uptime
-        })
+        Prediction::certain(if uptime < whole { whole - uptime } else { uptime })
     }
     fn learn(&mut self, _: &TaskFeatures, _: Millis, _: bool) {}
 }
@@ -20,12 +16,7 @@
 type Fleet = FleetBands<ByKind>;
 
 fn fleet(workers: u32) -> Fleet {
-    let mut f = FleetBands::new(
-        PlacementSettings::default(),
-        ByKind,
-        PlacementStrategy::Lava,
-    )
-    .unwrap();
+    let mut f = FleetBands::new(PlacementSettings::default(), ByKind, PlacementStrategy::Lava).unwrap();
     (0..workers).for_each(|w| f.worker_added(0, w, ROOM));
     f
 }
@@ -36,11 +27,7 @@
 
 fn band(f: &Fleet, w: WorkerIndex) -> (WorkerBandState, u8, Vec<TaskKey>) {
     let b = f.worker(w).unwrap().band();
-    (
-        b.state,
-        b.class.number(),
-        b.residuals.iter().copied().collect(),
-    )
+    (b.state, b.class.number(), b.residuals.iter().copied().collect())
 }
 
 #[test]
@@ -49,16 +36,9 @@
     assert_eq!(band(&f, 0).0, WorkerBandState::Empty);
     f.task_placed(1_000, 0, &task(1, 300_000, 4_500)).unwrap();
     assert_eq!(band(&f, 0), (WorkerBandState::Open, 2, vec![]));
-    assert_eq!(
-        f.worker(0).unwrap().band().time_budget_ends,
-        1_000 + 660_000
-    );
+    assert_eq!(f.worker(0).unwrap().band().time_budget_ends, 1_000 + 660_000);
     f.task_placed(2_000, 0, &task(2, 300_000, 4_500)).unwrap();
-    assert_eq!(
-        band(&f, 0).0,
-        WorkerBandState::Open,
-        "exactly nine tenths is not above"
-    );
+    assert_eq!(band(&f, 0).0, WorkerBandState::Open, "exactly nine tenths is not above");
     f.task_placed(3_000, 0, &task(3, 300_000, 1)).unwrap();
     assert_eq!(band(&f, 0), (WorkerBandState::Recycling, 2, vec![1, 2, 3]));
 }
@@ -80,18 +60,10 @@
     f.task_placed(20, 0, &task(3, 30_000, 200)).unwrap();
     f.task_ended(1_000, 0, 1, TaskOutcome::Finished).unwrap();
     assert_eq!(band(&f, 0), (WorkerBandState::Recycling, 2, vec![2, 3]));
-    assert_eq!(
-        f.worker(0).unwrap().band().time_budget_ends,
-        661_000,
-        "the new class has its own budget"
-    );
+    assert_eq!(f.worker(0).unwrap().band().time_budget_ends, 661_000, "the new class has its own budget");
     f.task_placed(2_000, 0, &task(4, 30_000, 200)).unwrap();
     f.task_ended(3_000, 0, 2, TaskOutcome::Finished).unwrap();
-    assert_eq!(
-        band(&f, 0),
-        (WorkerBandState::Recycling, 2, vec![3]),
-        "one residual is left"
-    );
+    assert_eq!(band(&f, 0), (WorkerBandState::Recycling, 2, vec![3]), "one residual is left");
     f.task_ended(4_000, 0, 3, TaskOutcome::Finished).unwrap();
     assert_eq!(band(&f, 0), (WorkerBandState::Recycling, 1, vec![4]));
     f.task_ended(5_000, 0, 4, TaskOutcome::Finished).unwrap();
@@ -109,11 +81,7 @@
     f.tick(66_000);
     assert_eq!(band(&f, 0), (WorkerBandState::Recycling, 2, vec![1, 2]));
     f.tick(700_000);
-    assert_eq!(
-        f.worker(0).unwrap().band().time_budget_ends,
-        66_000 + 660_000,
-        "not counted from the late tick"
-    );
+    assert_eq!(f.worker(0).unwrap().band().time_budget_ends, 66_000 + 660_000, "not counted from the late tick");
     f.tick(726_000);
     assert_eq!(band(&f, 0).1, 3);
 }
@@ -135,11 +103,7 @@
     f.task_placed(0, 0, &task(1, 30_000, 100)).unwrap();
     assert_eq!(f.worker(0).unwrap().exit(), Some(30_000));
     f.tick(48_000);
-    assert_eq!(
-        f.worker(0).unwrap().exit(),
-        Some(96_000),
-        "it outlived its first prediction"
-    );
+    assert_eq!(f.worker(0).unwrap().exit(), Some(96_000), "it outlived its first prediction");
 }
 
 #[test]
@@ -149,11 +113,7 @@
     f.worker_added(0, 0, ROOM);
     f.task_placed(0, 0, &task(1, 30_000, 100)).unwrap();
     f.tick(48_000);
-    assert_eq!(
-        f.worker(0).unwrap().exit(),
-        Some(48_000),
-        "due at once, for ever"
-    );
+    assert_eq!(f.worker(0).unwrap().exit(), Some(48_000), "due at once, for ever");
 }
 
 #[test]
@@ -172,19 +132,10 @@
     let mut f = fleet(1);
     f.task_placed(0, 0, &task(1, 30_000, 100)).unwrap();
     let again = f.task_placed(0, 0, &task(1, 30_000, 100));
-    assert!(matches!(
-        again,
-        Err(PlacementError::TaskAlreadyPlaced { worker: 0, key: 1 })
-    ));
-    assert!(matches!(
-        f.task_placed(0, 9, &task(2, 1, 1)),
-        Err(PlacementError::UnknownWorker { worker: 9 })
-    ));
+    assert!(matches!(again, Err(PlacementError::TaskAlreadyPlaced { worker: 0, key: 1 })));
+    assert!(matches!(f.task_placed(0, 9, &task(2, 1, 1)), Err(PlacementError::UnknownWorker { worker: 9 })));
     let end = f.task_ended(0, 0, 7, TaskOutcome::Finished);
-    assert!(matches!(
-        end,
-        Err(PlacementError::UnknownTask { worker: 0, key: 7 })
-    ));
+    assert!(matches!(end, Err(PlacementError::UnknownTask { worker: 0, key: 7 })));
     f.worker_removed(5, 0).unwrap();
     assert!(f.worker(0).is_none());
 }
--- a/crates/lifetime-placement/tests/predictor.rs
+++ b/crates/lifetime-placement/tests/predictor.rs
@@ -13,11 +13,7 @@
     let p = learned();
     let f = features(1, 1, 100);
     assert_eq!(p.remaining_ms(&f, 0), Prediction::fallback(330_000));
-    assert_eq!(
-        p.remaining_ms(&f, 1_000_000).expected_ms,
-        1_000_000,
-        "as long again as it has lasted"
-    );
+    assert_eq!(p.remaining_ms(&f, 1_000_000).expected_ms, 1_000_000, "as long again as it has lasted");
 }
 
 #[test]
@@ -47,16 +43,8 @@
     (0..10).for_each(|_| p.learn(&f, 2_000_000, false));
     let at = |u| p.remaining_ms(&f, u).expected_ms;
     assert!((150_000..260_000).contains(&at(0)), "{}", at(0));
-    assert!(
-        (1_900_000..2_050_000).contains(&at(60_000)),
-        "{}",
-        at(60_000)
-    );
-    assert!(
-        (900_000..1_100_000).contains(&at(1_000_000)),
-        "{}",
-        at(1_000_000)
-    );
+    assert!((1_900_000..2_050_000).contains(&at(60_000)), "{}", at(60_000));
+    assert!((900_000..1_100_000).contains(&at(1_000_000)), "{}", at(1_000_000));
     assert_eq!(at(30_000_000), 30_000_000, "none outlived that");
 }
 
@@ -70,10 +58,7 @@
         }
         cut.learn(&f, 5_000, true);
     }
-    let (cut, blind) = (
-        cut.remaining_ms(&f, 0).expected_ms,
-        blind.remaining_ms(&f, 0).expected_ms,
-    );
+    let (cut, blind) = (cut.remaining_ms(&f, 0).expected_ms, blind.remaining_ms(&f, 0).expected_ms);
     assert!(cut > blind * 5 / 4, "{cut} against {blind}");
 }
 
@@ -94,10 +79,7 @@
 #[test]
 fn a_task_that_runs_until_cancelled_has_no_remaining_lifetime_and_teaches_none() {
     let mut p = learned();
-    let f = TaskFeatures {
-        until_cancelled: true,
-        ..features(1, 1, 100)
-    };
+    let f = TaskFeatures { until_cancelled: true, ..features(1, 1, 100) };
     (0..100).for_each(|_| p.learn(&f, 1_000, false));
     assert_eq!(p.key_count(), 0);
     assert_eq!(p.remaining_ms(&f, 5).expected_ms, FOREVER);
@@ -105,10 +87,7 @@
 
 #[test]
 fn keys_are_bounded_and_the_common_ones_stay() {
-    let s = PlacementSettings {
-        most_keys: 16,
-        ..PlacementSettings::default()
-    };
+    let s = PlacementSettings { most_keys: 16, ..PlacementSettings::default() };
     let mut p = LearnedDistributions::new(&s);
     for k in 0..1_000 {
         p.learn(&features(1, 1, 100), 700_000, false);
@@ -116,10 +95,7 @@
     }
     assert_eq!(p.key_count(), 16);
     let kept = p.remaining_ms(&features(1, 1, 100), 0);
-    assert!(
-        kept.expected_ms.abs_diff(700_000) < 20_000 && kept.samples > 100.0,
-        "{kept:?}"
-    );
+    assert!(kept.expected_ms.abs_diff(700_000) < 20_000 && kept.samples > 100.0, "{kept:?}");
 }
 
 #[test]
--- a/crates/process-plumbing/src/http_caller.rs
+++ b/crates/process-plumbing/src/http_caller.rs
@@ -29,7 +29,15 @@
 
     /// Posts JSON to `http://{address}{path}` once. With `leave_by`, the body never leaves after it.
     /// The answer must be whole within `budget` and `max_answer` bytes.
-    pub async fn post(&self, address: &str, path: &str, body: Bytes, leave_by: Option<Millis>, budget: Duration, max_answer: usize) -> HttpOutcome {
+    pub async fn post(
+        &self,
+        address: &str,
+        path: &str,
+        body: Bytes,
+        leave_by: Option<Millis>,
+        budget: Duration,
+        max_answer: usize,
+    ) -> HttpOutcome {
         let permit = SendPermit::default();
         let body = GuardedBody::new(body, permit.clone(), self.clock.clone(), leave_by);
         let r = Request::post(format!("http://{address}{path}")).header("content-type", "application/json").body(body);
--- a/crates/process-plumbing/src/process_statistics.rs
+++ b/crates/process-plumbing/src/process_statistics.rs
@@ -31,10 +31,7 @@
         let user: u64 = fields.get(11)?.parse().ok()?;
         let system: u64 = fields.get(12)?.parse().ok()?;
         let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
-        Some(ProcessStatistics {
-            cpu_seconds: (user + system) as f64 / ticks_per_second as f64,
-            resident_bytes: pages * page_bytes,
-        })
+        Some(ProcessStatistics { cpu_seconds: (user + system) as f64 / ticks_per_second as f64, resident_bytes: pages * page_bytes })
     }
 
     /// Sets the gauges.
--- a/crates/replicated-log/src/log_tail.rs
+++ b/crates/replicated-log/src/log_tail.rs
@@ -13,13 +13,7 @@
 impl LogTail {
     /// An empty tail after a base.
     pub fn new(base_index: Index, base_term: Term, base_log_time: Millis) -> Self {
-        Self {
-            base_index,
-            base_term,
-            base_log_time,
-            entries: VecDeque::new(),
-            bytes: 0,
-        }
+        Self { base_index, base_term, base_log_time, entries: VecDeque::new(), bytes: 0 }
     }
 
     /// Last compacted index.
@@ -39,9 +33,7 @@
 
     /// Cluster clock at the last index.
     pub fn last_log_time(&self) -> Millis {
-        self.entries
-            .back()
-            .map_or(self.base_log_time, |e| e.log_time)
+        self.entries.back().map_or(self.base_log_time, |e| e.log_time)
     }
 
     /// Rough bytes held.
--- a/crates/replicated-log/src/member_address.rs
+++ b/crates/replicated-log/src/member_address.rs
@@ -14,9 +14,6 @@
 impl MemberAddress {
     /// An address in a site.
     pub fn new(endpoint: impl Into<String>, site: impl Into<String>) -> Self {
-        Self {
-            endpoint: endpoint.into(),
-            site: site.into(),
-        }
+        Self { endpoint: endpoint.into(), site: site.into() }
     }
 }
--- a/crates/replicated-log/src/membership.rs
+++ b/crates/replicated-log/src/membership.rs
@@ -29,10 +29,7 @@
 impl Membership {
     /// A membership of voters alone.
     pub fn of_voters(voters: impl IntoIterator<Item = (NodeId, MemberAddress)>) -> Self {
-        Self {
-            voters: voters.into_iter().collect(),
-            ..Self::default()
-        }
+        Self { voters: voters.into_iter().collect(), ..Self::default() }
     }
 
     /// Votes needed for a decision.
@@ -52,10 +49,7 @@
 
     /// All voters and learners.
     pub fn members(&self) -> impl Iterator<Item = (NodeId, &MemberAddress)> {
-        self.voters
-            .iter()
-            .chain(self.learners.iter())
-            .map(|(id, a)| (*id, a))
+        self.voters.iter().chain(self.learners.iter()).map(|(id, a)| (*id, a))
     }
 
     /// The membership after one change, or why the change makes no sense.
@@ -63,33 +57,20 @@
         let mut next = self.clone();
         match change {
             MembershipChange::AddLearner { id, address } => {
-                ensure!(
-                    !self.retired.contains(id),
-                    crate::propose_error::RetiredSnafu { id: *id }
-                );
-                ensure!(
-                    !self.is_member(*id),
-                    crate::propose_error::AlreadyMemberSnafu { id: *id }
-                );
+                ensure!(!self.retired.contains(id), crate::propose_error::RetiredSnafu { id: *id });
+                ensure!(!self.is_member(*id), crate::propose_error::AlreadyMemberSnafu { id: *id });
                 next.learners.insert(*id, address.clone());
             }
             MembershipChange::Promote { id } => {
                 let address = next.learners.remove(id);
-                let address =
-                    address.context(crate::propose_error::UnknownMemberSnafu { id: *id })?;
+                let address = address.context(crate::propose_error::UnknownMemberSnafu { id: *id })?;
                 next.voters.insert(*id, address);
             }
             MembershipChange::Remove { id } => {
-                ensure!(
-                    self.is_member(*id),
-                    crate::propose_error::UnknownMemberSnafu { id: *id }
-                );
+                ensure!(self.is_member(*id), crate::propose_error::UnknownMemberSnafu { id: *id });
                 next.learners.remove(id);
                 next.voters.remove(id);
-                ensure!(
-                    !next.voters.is_empty(),
-                    crate::propose_error::LastVoterSnafu { id: *id }
-                );
+                ensure!(!next.voters.is_empty(), crate::propose_error::LastVoterSnafu { id: *id });
                 next.retired.insert(*id);
             }
         }
--- a/crates/replicated-log/src/membership_history.rs
+++ b/crates/replicated-log/src/membership_history.rs
@@ -10,9 +10,7 @@
 impl MembershipHistory {
     /// A history that starts from the membership of a snapshot.
     pub fn new(index: Index, base: Membership) -> Self {
-        Self {
-            versions: vec![(index, base)],
-        }
+        Self { versions: vec![(index, base)] }
     }
 
     /// Notes an appended entry; says whether it held a membership.
@@ -35,11 +33,7 @@
 
     /// Forgets what is older than the one in force at the index.
     pub fn compact_to(&mut self, index: Index) {
-        let keep = self
-            .versions
-            .iter()
-            .rposition(|(i, _)| *i <= index)
-            .unwrap_or(0);
+        let keep = self.versions.iter().rposition(|(i, _)| *i <= index).unwrap_or(0);
         self.versions.drain(..keep);
     }
 
@@ -55,11 +49,7 @@
 
     /// The membership in force at an index.
     pub fn at(&self, index: Index) -> &Membership {
-        let place = self
-            .versions
-            .iter()
-            .rposition(|(i, _)| *i <= index)
-            .unwrap_or(0);
+        let place = self.versions.iter().rposition(|(i, _)| *i <= index).unwrap_or(0);
         &self.versions[place].1
     }
 }
--- a/crates/replicated-log/src/memory_log_storage.rs
+++ b/crates/replicated-log/src/memory_log_storage.rs
@@ -21,10 +21,7 @@
 impl MemoryLogStorage {
     /// A storage that holds a state.
     pub fn new(state: RestoredState) -> Self {
-        Self {
-            synced: state,
-            ..Self::default()
-        }
+        Self { synced: state, ..Self::default() }
     }
 
     /// Takes a write without syncing it.
--- a/crates/replicated-log/src/message.rs
+++ b/crates/replicated-log/src/message.rs
@@ -42,22 +42,12 @@
 
     /// Reads what `to_bytes` wrote, and nothing else.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, MessageError> {
-        let (version, rest) = bytes
-            .split_first()
-            .context(crate::message_error::EmptySnafu)?;
-        ensure!(
-            *version == WIRE_VERSION,
-            crate::message_error::UnknownVersionSnafu { version: *version }
-        );
+        let (version, rest) = bytes.split_first().context(crate::message_error::EmptySnafu)?;
+        ensure!(*version == WIRE_VERSION, crate::message_error::UnknownVersionSnafu { version: *version });
         let mut decoder = minicbor::Decoder::new(rest);
-        let message = decoder
-            .decode()
-            .context(crate::message_error::MalformedSnafu)?;
+        let message = decoder.decode().context(crate::message_error::MalformedSnafu)?;
         let count = rest.len() - decoder.position();
-        ensure!(
-            count == 0,
-            crate::message_error::TrailingBytesSnafu { count }
-        );
+        ensure!(count == 0, crate::message_error::TrailingBytesSnafu { count });
         Ok(message)
     }
 }
--- a/crates/replicated-log/src/outbox.rs
+++ b/crates/replicated-log/src/outbox.rs
@@ -72,10 +72,7 @@
         }
         let synced = self.synced;
         for (_, message) in self.held.extract_if(.., |(ticket, _)| *ticket <= synced) {
-            effects.push(Effect::Send {
-                to: message.to,
-                message,
-            });
+            effects.push(Effect::Send { to: message.to, message });
         }
         effects.append(&mut self.effects);
         effects
--- a/crates/replicated-log/src/random_source.rs
+++ b/crates/replicated-log/src/random_source.rs
@@ -8,10 +8,6 @@
 
 impl<R: RngCore> RandomSource for R {
     fn below(&mut self, bound: u64) -> u64 {
-        if bound == 0 {
-            0
-        } else {
-            self.next_u64() % bound
-        }
+        if bound == 0 { 0 } else { self.next_u64() % bound }
     }
 }
--- a/crates/replicated-log/src/replica.rs
+++ b/crates/replicated-log/src/replica.rs
@@ -57,19 +57,8 @@
 
 impl<R: RandomSource> Replica<R> {
     /// A replica that goes on from what its storage gave back.
-    pub fn new(
-        settings: LogSettings,
-        cluster: ClusterId,
-        id: NodeId,
-        restored: RestoredState,
-        now: Millis,
-        random: R,
-    ) -> Self {
-        let RestoredState {
-            hard_state,
-            snapshot,
-            entries,
-        } = restored;
+    pub fn new(settings: LogSettings, cluster: ClusterId, id: NodeId, restored: RestoredState, now: Millis, random: R) -> Self {
+        let RestoredState { hard_state, snapshot, entries } = restored;
         let (index, term, log_time, membership) = match &snapshot {
             Some(s) => (s.index, s.term, s.log_time, s.membership.clone()),
             None => (0, 0, 0, Membership::default()),
@@ -157,10 +146,7 @@
 
     fn tick(&mut self, wall_ms: Millis) {
         self.wall = Some((wall_ms, self.now));
-        let runs = matches!(
-            self.role,
-            Role::Follower | Role::PreCandidate | Role::Candidate
-        );
+        let runs = matches!(self.role, Role::Follower | Role::PreCandidate | Role::Candidate);
         if runs && self.now >= self.election_due {
             self.start_pre_vote();
         }
@@ -168,11 +154,7 @@
 
     fn answer(&mut self, token: Token, outcome: Result<Index, ProposeError>) {
         let effect = match outcome {
-            Ok(index) => Effect::Proposed {
-                token,
-                index,
-                term: self.term,
-            },
+            Ok(index) => Effect::Proposed { token, index, term: self.term },
             Err(error) => {
                 self.counters.shed += 1;
                 Effect::Shed { token, error }
@@ -184,10 +166,7 @@
     fn propose(&mut self, command: Vec<u8>) -> Result<Index, ProposeError> {
         self.ensure_leading()?;
         let (bytes, limit) = (command.len(), self.settings.max_command_bytes);
-        ensure!(
-            bytes <= limit,
-            crate::propose_error::TooLargeSnafu { bytes, limit }
-        );
+        ensure!(bytes <= limit, crate::propose_error::TooLargeSnafu { bytes, limit });
         let held = self.uncommitted_bytes;
         let room = held + bytes <= self.settings.max_uncommitted_bytes;
         ensure!(room, crate::propose_error::OverloadedSnafu { bytes: held });
@@ -196,10 +175,7 @@
 
     pub(crate) fn ensure_leading(&self) -> Result<(), ProposeError> {
         let hint = self.leader;
-        ensure!(
-            self.role == Role::Leader,
-            crate::propose_error::NotLeaderSnafu { hint }
-        );
+        ensure!(self.role == Role::Leader, crate::propose_error::NotLeaderSnafu { hint });
         if let Some((to, _)) = self.handover {
             return crate::propose_error::TransferringSnafu { to }.fail();
         }
@@ -228,13 +204,7 @@
     }
 
     pub(crate) fn receive(&mut self, message: Message) {
-        let Message {
-            cluster,
-            from,
-            to,
-            term,
-            body,
-        } = message;
+        let Message { cluster, from, to, term, body } = message;
         if cluster != self.cluster {
             self.counters.other_cluster += 1;
             return;
@@ -248,13 +218,7 @@
             self.counters.stale += 1;
             return;
         }
-        let ignores = matches!(
-            body,
-            MessageBody::Vote {
-                transfer: false,
-                ..
-            }
-        );
+        let ignores = matches!(body, MessageBody::Vote { transfer: false, .. });
         if ignores && term > self.term && self.leader_lives() {
             self.counters.votes_ignored += 1;
             return;
@@ -264,29 +228,16 @@
         }
         let current = term == self.term;
         match body {
-            MessageBody::PreVote {
-                next_term,
-                last_index,
-                last_term,
-            } => {
+            MessageBody::PreVote { next_term, last_index, last_term } => {
                 self.on_pre_vote(from, next_term, last_index, last_term);
             }
-            MessageBody::Vote {
-                last_index,
-                last_term,
-                ..
-            } => {
+            MessageBody::Vote { last_index, last_term, .. } => {
                 self.on_vote(from, current, last_index, last_term);
             }
             MessageBody::Append(_) | MessageBody::SnapshotChunk(_) if !current => {
                 self.counters.stale += 1;
                 // Only the term matters: it tells a leader of old that it is one.
-                let ack = AppendAck {
-                    sent_at: 0,
-                    match_index: 0,
-                    conflict: None,
-                    wall_ms: None,
-                };
+                let ack = AppendAck { sent_at: 0, match_index: 0, conflict: None, wall_ms: None };
                 self.send(from, Gate::HardState, MessageBody::AppendAck(ack));
             }
             // A voter that is behind in terms may grant all the same.
@@ -304,13 +255,7 @@
     }
 
     pub(crate) fn send(&mut self, to: NodeId, gate: Gate, body: MessageBody) {
-        let message = Message {
-            cluster: self.cluster,
-            from: self.id,
-            to,
-            term: self.term,
-            body,
-        };
+        let message = Message { cluster: self.cluster, from: self.id, to, term: self.term, body };
         self.outbox.send(gate, message);
     }
 
@@ -337,8 +282,7 @@
 
     /// Notes that the write of this step makes the log durable up to its end.
     pub(crate) fn note_unsynced(&mut self) {
-        self.unsynced
-            .push_back((self.outbox.current_ticket(), self.log.last_index()));
+        self.unsynced.push_back((self.outbox.current_ticket(), self.log.last_index()));
     }
 
     pub(crate) fn commit_to(&mut self, index: Index) {
@@ -415,9 +359,7 @@
         let voters = &self.membership().voters;
         let mut walls: Vec<_> = voters.keys().filter_map(of).collect();
         walls.sort_unstable_by(|a, b| b.cmp(a));
-        (self.role == Role::Leader)
-            .then(|| walls.get(many.checked_sub(1)?).copied())
-            .flatten()
+        (self.role == Role::Leader).then(|| walls.get(many.checked_sub(1)?).copied()).flatten()
     }
 
     /// When a tick is next needed, whatever else happens.
@@ -433,10 +375,7 @@
 
     /// Term and vote.
     pub fn hard_state(&self) -> HardState {
-        HardState {
-            term: self.term,
-            voted_for: self.voted_for,
-        }
+        HardState { term: self.term, voted_for: self.voted_for }
     }
 
     /// This member.
--- a/crates/replicated-log/src/replica_election.rs
+++ b/crates/replicated-log/src/replica_election.rs
@@ -12,10 +12,7 @@
     /// build their lease on this.
     pub(crate) fn leader_lives(&self) -> bool {
         let timeout = self.settings.election_timeout_ms;
-        self.role == Role::Leader
-            || self
-                .leader_heard_at
-                .is_some_and(|at| self.now < at + timeout)
+        self.role == Role::Leader || self.leader_heard_at.is_some_and(|at| self.now < at + timeout)
     }
 
     /// Newest time such that a quorum acknowledged a message sent then or later.
@@ -62,13 +59,7 @@
     }
 
     fn ask_voters(&mut self, body: &MessageBody) {
-        let others: Vec<_> = self
-            .membership()
-            .voters
-            .keys()
-            .copied()
-            .filter(|id| *id != self.id)
-            .collect();
+        let others: Vec<_> = self.membership().voters.keys().copied().filter(|id| *id != self.id).collect();
         for to in others {
             self.send(to, Gate::HardState, body.clone());
         }
@@ -82,11 +73,7 @@
         self.leader = None;
         self.votes = BTreeSet::from([self.id]);
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        self.ask_voters(&MessageBody::PreVote {
-            next_term: self.term + 1,
-            last_index,
-            last_term,
-        });
+        self.ask_voters(&MessageBody::PreVote { next_term: self.term + 1, last_index, last_term });
     }
 
     fn campaign(&mut self, event: RoleEvent) {
@@ -104,11 +91,7 @@
         self.self_vote_ticket = self.outbox.current_ticket();
         let transfer = event == RoleEvent::TransferReceived;
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        self.ask_voters(&MessageBody::Vote {
-            last_index,
-            last_term,
-            transfer,
-        });
+        self.ask_voters(&MessageBody::Vote { last_index, last_term, transfer });
     }
 
     /// Moves on when a quorum has granted; our own vote counts once it is synced.
@@ -117,11 +100,7 @@
             self.votes.insert(self.id);
         }
         let voters = &self.membership().voters;
-        let granted = self
-            .votes
-            .iter()
-            .filter(|id| voters.contains_key(id))
-            .count();
+        let granted = self.votes.iter().filter(|id| voters.contains_key(id)).count();
         if granted < self.membership().quorum() {
             return;
         }
@@ -140,32 +119,15 @@
         self.votes.clear();
         self.leader = Some(self.id);
         self.leader_since = self.now;
-        self.uncommitted_bytes = self
-            .log
-            .range(self.commit + 1, self.log.last_index())
-            .map(LogEntry::size)
-            .sum();
+        self.uncommitted_bytes = self.log.range(self.commit + 1, self.log.last_index()).map(LogEntry::size).sum();
         self.sync_progress();
         self.outbox.push(Effect::BecameLeader { term: self.term });
         self.append_own(LogEntryBody::Noop);
     }
 
-    pub(crate) fn on_pre_vote(
-        &mut self,
-        from: NodeId,
-        next_term: Term,
-        last_index: Index,
-        last_term: Term,
-    ) {
-        let granted = next_term > self.term
-            && !self.leader_lives()
-            && self.may_vote()
-            && self.up_to_date(last_index, last_term);
-        self.send(
-            from,
-            Gate::HardState,
-            MessageBody::PreVoteReply { next_term, granted },
-        );
+    pub(crate) fn on_pre_vote(&mut self, from: NodeId, next_term: Term, last_index: Index, last_term: Term) {
+        let granted = next_term > self.term && !self.leader_lives() && self.may_vote() && self.up_to_date(last_index, last_term);
+        self.send(from, Gate::HardState, MessageBody::PreVoteReply { next_term, granted });
     }
 
     pub(crate) fn on_pre_vote_reply(&mut self, from: NodeId, next_term: Term, granted: bool) {
@@ -174,13 +136,7 @@
         }
     }
 
-    pub(crate) fn on_vote(
-        &mut self,
-        from: NodeId,
-        current: bool,
-        last_index: Index,
-        last_term: Term,
-    ) {
+    pub(crate) fn on_vote(&mut self, from: NodeId, current: bool, last_index: Index, last_term: Term) {
         let granted = current
             && self.role != Role::Leader
             && self.voted_for.is_none_or(|id| id == from)
@@ -214,10 +170,7 @@
         let Some((to, due)) = self.handover else {
             return;
         };
-        let caught_up = self
-            .progress
-            .get(&to)
-            .is_some_and(|p| p.match_index == self.log.last_index());
+        let caught_up = self.progress.get(&to).is_some_and(|p| p.match_index == self.log.last_index());
         if caught_up {
             self.send(to, Gate::HardState, MessageBody::TimeoutNow);
             self.shift(RoleEvent::Abdicated);
--- a/crates/replicated-log/src/replica_membership.rs
+++ b/crates/replicated-log/src/replica_membership.rs
@@ -12,14 +12,9 @@
     /// that is committed: until then the member may be the only one that can win,
     /// since it alone may hold the entry that removes it. A leader leads on as long.
     pub(crate) fn refresh_role(&mut self) {
-        let voter =
-            self.membership().is_voter(self.id) || self.committed_members().is_voter(self.id);
+        let voter = self.membership().is_voter(self.id) || self.committed_members().is_voter(self.id);
         if self.role != Role::Leader {
-            self.shift(if voter {
-                RoleEvent::VoteGained
-            } else {
-                RoleEvent::VoteLost
-            });
+            self.shift(if voter { RoleEvent::VoteGained } else { RoleEvent::VoteLost });
         }
     }
 
@@ -29,34 +24,23 @@
         self.progress.retain(|id, _| members.is_member(*id));
         let (next, now) = (self.log.last_index() + 1, self.now);
         for (id, _) in members.members().filter(|(id, _)| *id != self.id) {
-            self.progress
-                .entry(id)
-                .or_insert_with(|| Progress::new(next, now));
+            self.progress.entry(id).or_insert_with(|| Progress::new(next, now));
         }
     }
 
-    pub(crate) fn propose_membership(
-        &mut self,
-        change: &MembershipChange,
-    ) -> Result<Index, ProposeError> {
+    pub(crate) fn propose_membership(&mut self, change: &MembershipChange) -> Result<Index, ProposeError> {
         self.ensure_leading()?;
         let term = self.term;
         let ready = self.log.term_at(self.commit) == Some(term);
         ensure!(ready, crate::propose_error::TermNotCommittedSnafu { term });
         let index = self.members.latest_index();
-        ensure!(
-            index <= self.commit,
-            crate::propose_error::ChangeInFlightSnafu { index }
-        );
+        ensure!(index <= self.commit, crate::propose_error::ChangeInFlightSnafu { index });
         let next = self.membership().changed(change)?;
         if let MembershipChange::Promote { id } = change {
             let matched = self.progress.get(id).map_or(0, |p| p.match_index);
             let behind = self.log.last_index() - matched;
             let near = behind <= self.settings.caught_up_entries && matched > 0;
-            ensure!(
-                near,
-                crate::propose_error::NotCaughtUpSnafu { id: *id, behind }
-            );
+            ensure!(near, crate::propose_error::NotCaughtUpSnafu { id: *id, behind });
         }
         Ok(self.append_own(LogEntryBody::Membership(next)))
     }
--- a/crates/replicated-log/src/replica_replication.rs
+++ b/crates/replicated-log/src/replica_replication.rs
@@ -8,12 +8,7 @@
         let first = u64::from(self.log.last_term() != self.term);
         let log_time = max(self.log_time(self.now), self.log.last_log_time() + first);
         let index = self.log.last_index() + 1;
-        let entry = LogEntry {
-            term: self.term,
-            index,
-            log_time,
-            body,
-        };
+        let entry = LogEntry { term: self.term, index, log_time, body };
         self.uncommitted_bytes += entry.size();
         if self.append_entry(entry) {
             self.sync_progress();
@@ -58,20 +53,8 @@
         self.wall.map(|(wall, at)| wall + (self.now - at))
     }
 
-    pub(crate) fn acknowledge(
-        &mut self,
-        to: NodeId,
-        gate: Gate,
-        sent_at: Millis,
-        match_index: Index,
-        conflict: Option<ConflictHint>,
-    ) {
-        let ack = AppendAck {
-            sent_at,
-            match_index,
-            conflict,
-            wall_ms: self.own_wall(),
-        };
+    pub(crate) fn acknowledge(&mut self, to: NodeId, gate: Gate, sent_at: Millis, match_index: Index, conflict: Option<ConflictHint>) {
+        let ack = AppendAck { sent_at, match_index, conflict, wall_ms: self.own_wall() };
         self.send(to, gate, MessageBody::AppendAck(ack));
     }
 
@@ -79,17 +62,8 @@
         if !self.heed(from) {
             return;
         }
-        let Append {
-            mut prev_index,
-            mut prev_term,
-            commit,
-            sent_at,
-            mut entries,
-        } = append;
-        let numbered = entries
-            .iter()
-            .zip(prev_index + 1..)
-            .all(|(e, index)| e.index == index);
+        let Append { mut prev_index, mut prev_term, commit, sent_at, mut entries } = append;
+        let numbered = entries.iter().zip(prev_index + 1..).all(|(e, index)| e.index == index);
         if !numbered {
             self.counters.malformed += 1;
             return;
@@ -112,11 +86,7 @@
                 Some(_) => self.log.first_of_term(prev_index),
                 None => self.log.last_index() + 1,
             };
-            let hint = ConflictHint {
-                prev_index,
-                term: own_term,
-                index,
-            };
+            let hint = ConflictHint { prev_index, term: own_term, index };
             self.acknowledge(from, Gate::HardState, sent_at, 0, Some(hint));
             return;
         }
@@ -190,9 +160,7 @@
             Pace::Snapshot { snapshot, .. } => progress.match_index >= snapshot.index,
         };
         if arrived {
-            progress.pace = Pace::Pipeline {
-                inflight: VecDeque::new(),
-            };
+            progress.pace = Pace::Pipeline { inflight: VecDeque::new() };
         }
     }
 
@@ -204,10 +172,7 @@
         };
         let mut matches: Vec<_> = self.membership().voters.keys().map(matched).collect();
         matches.sort_unstable_by(|a, b| b.cmp(a));
-        let index = matches
-            .get(self.membership().quorum() - 1)
-            .copied()
-            .unwrap_or(0);
+        let index = matches.get(self.membership().quorum() - 1).copied().unwrap_or(0);
         if index > self.commit && self.log.term_at(index) == Some(self.term) {
             self.commit_to(index);
         }
@@ -229,23 +194,12 @@
         let beat = self.now >= progress.last_sent_at + self.settings.heartbeat_ms;
         let lacks = match &progress.pace {
             // Nothing of it arrived yet: a newer one is as good.
-            Pace::Snapshot {
-                snapshot,
-                offset: 0,
-                ..
-            } => self
-                .snapshot
-                .as_ref()
-                .is_some_and(|s| s.index > snapshot.index),
+            Pace::Snapshot { snapshot, offset: 0, .. } => self.snapshot.as_ref().is_some_and(|s| s.index > snapshot.index),
             Pace::Snapshot { .. } => false,
             _ => self.log.term_at(progress.next_index - 1).is_none(),
         };
         if lacks && let Some(snapshot) = self.snapshot.clone() {
-            progress.pace = Pace::Snapshot {
-                snapshot,
-                offset: 0,
-                waiting: false,
-            };
+            progress.pace = Pace::Snapshot { snapshot, offset: 0, waiting: false };
         }
         let (last, limit) = (self.log.last_index(), self.settings.max_inflight_batches);
         match &mut progress.pace {
@@ -294,13 +248,7 @@
         let (commit, sent_at) = (self.commit, self.now);
         progress.commit_sent = commit;
         progress.last_sent_at = self.now;
-        let append = Append {
-            prev_index,
-            prev_term,
-            commit,
-            sent_at,
-            entries,
-        };
+        let append = Append { prev_index, prev_term, commit, sent_at, entries };
         self.send(id, Gate::HardState, MessageBody::Append(append));
         last
     }
