--- a/crates/replicated-log/src/replica_snapshot.rs
+++ b/crates/replicated-log/src/replica_snapshot.rs
@@ -15,13 +15,7 @@
         };
         let (term, log_time) = (entry.term, entry.log_time);
         let membership = self.members.at(index).clone();
-        let snapshot = Arc::new(Snapshot {
-            index,
-            term,
-            log_time,
-            membership,
-            bytes,
-        });
+        let snapshot = Arc::new(Snapshot { index, term, log_time, membership, bytes });
         self.outbox.request.snapshot = Some(snapshot.clone());
         self.snapshot = Some(snapshot);
         let end = self.log.compactable(index, self.settings.kept_tail_bytes);
@@ -30,20 +24,11 @@
             self.outbox.request.compact_to = Some(end);
         }
         self.members.compact_to(index);
-        self.bytes_since_snapshot = self
-            .log
-            .range(index + 1, self.commit)
-            .map(LogEntry::size)
-            .sum();
+        self.bytes_since_snapshot = self.log.range(index + 1, self.commit).map(LogEntry::size).sum();
     }
 
     pub(crate) fn send_chunk(&mut self, id: NodeId, progress: &mut Progress) {
-        let Pace::Snapshot {
-            snapshot,
-            offset,
-            waiting,
-        } = &mut progress.pace
-        else {
+        let Pace::Snapshot { snapshot, offset, waiting } = &mut progress.pace else {
             return;
         };
         *waiting = true;
@@ -60,13 +45,7 @@
         };
         progress.last_sent_at = self.now;
         let (offset, total, sent_at) = (start as u64, total as u64, self.now);
-        let chunk = SnapshotChunk {
-            head,
-            offset,
-            total,
-            sent_at,
-            bytes,
-        };
+        let chunk = SnapshotChunk { head, offset, total, sent_at, bytes };
         self.send(id, Gate::HardState, MessageBody::SnapshotChunk(chunk));
     }
 
@@ -76,11 +55,7 @@
             return;
         };
         progress.heard(now, ack.sent_at, ack.wall_ms);
-        if let Pace::Snapshot {
-            snapshot,
-            offset,
-            waiting,
-        } = &mut progress.pace
+        if let Pace::Snapshot { snapshot, offset, waiting } = &mut progress.pace
             && snapshot.index == ack.index
             && *offset != ack.received
         {
@@ -101,27 +76,15 @@
             self.acknowledge(from, Gate::HardState, sent_at, synced, None);
             return;
         }
-        if chunk.total > self.settings.max_snapshot_bytes || chunk.bytes.len() as u64 > chunk.total
-        {
+        if chunk.total > self.settings.max_snapshot_bytes || chunk.bytes.len() as u64 > chunk.total {
             self.counters.malformed += 1;
             return;
         }
-        let fits = self
-            .incoming
-            .as_ref()
-            .is_some_and(|t| t.fits(from, self.term, &chunk));
+        let fits = self.incoming.as_ref().is_some_and(|t| t.fits(from, self.term, &chunk));
         if !fits {
-            let partial = Snapshot {
-                bytes: Vec::new(),
-                ..chunk.head.clone()
-            };
+            let partial = Snapshot { bytes: Vec::new(), ..chunk.head.clone() };
             let (term, total) = (self.term, chunk.total);
-            self.incoming = Some(SnapshotTransfer {
-                from,
-                term,
-                partial,
-                total,
-            });
+            self.incoming = Some(SnapshotTransfer { from, term, partial, total });
         }
         let Some(transfer) = &mut self.incoming else {
             return;
@@ -133,12 +96,7 @@
         let received = transfer.received();
         if received < transfer.total {
             let wall_ms = self.wall.map(|(wall, at)| wall + (self.now - at));
-            let ack = SnapshotAck {
-                index: chunk.head.index,
-                received,
-                sent_at,
-                wall_ms,
-            };
+            let ack = SnapshotAck { index: chunk.head.index, received, sent_at, wall_ms };
             self.send(from, Gate::HardState, MessageBody::SnapshotAck(ack));
             return;
         }
--- a/crates/replicated-log/src/restored_state.rs
+++ b/crates/replicated-log/src/restored_state.rs
@@ -15,17 +15,8 @@
     /// The first state of the first members of a new cluster: an empty snapshot
     /// at index 0 that holds the membership. Every one of them must get the same.
     pub fn founding(membership: Membership) -> Self {
-        let snapshot = Snapshot {
-            index: 0,
-            term: 0,
-            log_time: 0,
-            membership,
-            bytes: Vec::new(),
-        };
-        Self {
-            snapshot: Some(snapshot),
-            ..Self::default()
-        }
+        let snapshot = Snapshot { index: 0, term: 0, log_time: 0, membership, bytes: Vec::new() };
+        Self { snapshot: Some(snapshot), ..Self::default() }
     }
 
     /// The first state of a member that joins a running cluster: nothing at all.
--- a/crates/replicated-log/src/sled_log_storage.rs
+++ b/crates/replicated-log/src/sled_log_storage.rs
@@ -28,10 +28,7 @@
             .flush_every_ms(None)
             .open()
             .context(crate::storage_error::StoreSnafu)?;
-        Ok(Self {
-            db,
-            chunk_bytes: max(1, settings.snapshot_chunk_bytes),
-        })
+        Ok(Self { db, chunk_bytes: max(1, settings.snapshot_chunk_bytes) })
     }
 
     /// Who this member is; none in a fresh folder.
@@ -43,9 +40,7 @@
     /// a fresh folder, so that a lost disk never comes back as its old self.
     pub fn set_identity(&mut self, id: NodeId) -> Result<(), StorageError> {
         let record = StoredRecord::encode(&id);
-        self.db
-            .insert(IDENTITY_KEY, record)
-            .context(crate::storage_error::StoreSnafu)?;
+        self.db.insert(IDENTITY_KEY, record).context(crate::storage_error::StoreSnafu)?;
         self.flush()
     }
 
@@ -55,38 +50,24 @@
     }
 
     fn flush(&self) -> Result<(), StorageError> {
-        self.db
-            .flush()
-            .context(crate::storage_error::StoreSnafu)
-            .map(drop)
+        self.db.flush().context(crate::storage_error::StoreSnafu).map(drop)
     }
 
     fn keys_from(&self, start: Vec<u8>, prefix: u8) -> Result<Vec<sled::IVec>, StorageError> {
         let keys = self.db.range(start..vec![prefix + 1]).keys();
-        keys.map(|key| key.context(crate::storage_error::StoreSnafu))
-            .collect()
+        keys.map(|key| key.context(crate::storage_error::StoreSnafu)).collect()
     }
 
-    fn put_snapshot(
-        &self,
-        snapshot: &Snapshot,
-        batch: &mut sled::Batch,
-    ) -> Result<(), StorageError> {
+    fn put_snapshot(&self, snapshot: &Snapshot, batch: &mut sled::Batch) -> Result<(), StorageError> {
         for key in self.keys_from(vec![CHUNK_PREFIX], CHUNK_PREFIX)? {
             batch.remove(key);
         }
-        let head = Snapshot {
-            bytes: Vec::new(),
-            ..snapshot.clone()
-        };
+        let head = Snapshot { bytes: Vec::new(), ..snapshot.clone() };
         let total = snapshot.bytes.len() as u64;
         batch.insert(SNAPSHOT_HEAD_KEY, StoredRecord::encode(&(head, total)));
         for (number, piece) in (0u32..).zip(snapshot.bytes.chunks(self.chunk_bytes)) {
             let piece = minicbor::bytes::ByteVec::from(piece.to_vec());
-            batch.insert(
-                chunk_key(snapshot.index, number),
-                StoredRecord::encode(&piece),
-            );
+            batch.insert(chunk_key(snapshot.index, number), StoredRecord::encode(&piece));
         }
         Ok(())
     }
@@ -113,9 +94,7 @@
         if let Some(hard_state) = &request.hard_state {
             batch.insert(HARD_STATE_KEY, StoredRecord::encode(hard_state));
         }
-        self.db
-            .apply_batch(batch)
-            .context(crate::storage_error::StoreSnafu)
+        self.db.apply_batch(batch).context(crate::storage_error::StoreSnafu)
     }
 
     fn load_snapshot(&self) -> Result<Option<Snapshot>, StorageError> {
@@ -131,13 +110,7 @@
         }
         let found = head.bytes.len() as u64;
         let whole = found == total;
-        ensure!(
-            whole,
-            crate::storage_error::SnapshotIncompleteSnafu {
-                wanted: total,
-                found
-            }
-        );
+        ensure!(whole, crate::storage_error::SnapshotIncompleteSnafu { wanted: total, found });
         Ok(Some(head))
     }
 
@@ -145,21 +118,12 @@
         let mut entries: Vec<LogEntry> = Vec::new();
         for pair in self.db.range(vec![ENTRY_PREFIX]..vec![ENTRY_PREFIX + 1]) {
             let (key, value) = pair.context(crate::storage_error::StoreSnafu)?;
-            let digits: [u8; 8] = key[1..]
-                .try_into()
-                .ok()
-                .context(crate::storage_error::UnknownKeySnafu { bytes: key.len() })?;
+            let digits: [u8; 8] = key[1..].try_into().ok().context(crate::storage_error::UnknownKeySnafu { bytes: key.len() })?;
             let entry: LogEntry = StoredRecord::decode(&value)?;
             let index = Index::from_be_bytes(digits);
             let wanted = entries.last().map_or(index, |e| e.index + 1);
             let fits = entry.index == index && index == wanted;
-            ensure!(
-                fits,
-                crate::storage_error::GapSnafu {
-                    wanted,
-                    found: entry.index
-                }
-            );
+            ensure!(fits, crate::storage_error::GapSnafu { wanted, found: entry.index });
             entries.push(entry);
         }
         Ok(entries)
@@ -192,11 +156,7 @@
             let (wanted, found) = (base + 1, first.index);
             ensure!(joins, crate::storage_error::GapSnafu { wanted, found });
         }
-        Ok(RestoredState {
-            hard_state,
-            snapshot,
-            entries,
-        })
+        Ok(RestoredState { hard_state, snapshot, entries })
     }
 
     fn write_all(&mut self, requests: &[PersistRequest]) -> Result<(), StorageError> {
--- a/crates/replicated-log/src/stored_record.rs
+++ b/crates/replicated-log/src/stored_record.rs
@@ -33,28 +33,18 @@
 
     /// The value of a frame.
     pub fn decode<T: for<'b> Decode<'b, ()>>(bytes: &[u8]) -> Result<T, StorageError> {
-        let (head, rest) = bytes
-            .split_first_chunk::<HEAD_BYTES>()
-            .context(crate::storage_error::TooShortSnafu { bytes: bytes.len() })?;
+        let (head, rest) = bytes.split_first_chunk::<HEAD_BYTES>().context(crate::storage_error::TooShortSnafu { bytes: bytes.len() })?;
         let version = head[0];
         let known = version == RECORD_VERSION;
         ensure!(known, crate::storage_error::UnknownVersionSnafu { version });
         let found = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
         let computed = Self::checksum(bytes);
         let sound = found == computed;
-        ensure!(
-            sound,
-            crate::storage_error::BadChecksumSnafu { found, computed }
-        );
+        ensure!(sound, crate::storage_error::BadChecksumSnafu { found, computed });
         let mut decoder = minicbor::Decoder::new(rest);
-        let value = decoder
-            .decode()
-            .context(crate::storage_error::MalformedSnafu)?;
+        let value = decoder.decode().context(crate::storage_error::MalformedSnafu)?;
         let count = rest.len() - decoder.position();
-        ensure!(
-            count == 0,
-            crate::storage_error::TrailingBytesSnafu { count }
-        );
+        ensure!(count == 0, crate::storage_error::TrailingBytesSnafu { count });
         Ok(value)
     }
 
--- a/crates/replicated-log/tests/model_check.rs
+++ b/crates/replicated-log/tests/model_check.rs
@@ -82,12 +82,7 @@
     let members = (1..=3).map(|id| {
         let replica = start(id, founding.clone(), 0);
         let storage = MemoryLogStorage::new(founding.clone());
-        Arc::new(Member {
-            replica,
-            storage,
-            clock: 0,
-            quiet: false,
-        })
+        Arc::new(Member { replica, storage, clock: 0, quiet: false })
     });
     State {
         members: members.collect(),
@@ -184,13 +179,7 @@
         let replica = &self.members[place].replica;
         let (to, term) = (place as NodeId + 1, replica.term());
         let from = replica.leader_hint().unwrap_or(to % 3 + 1);
-        let message = Message {
-            cluster: 7,
-            from,
-            to,
-            term,
-            body: MessageBody::TimeoutNow,
-        };
+        let message = Message { cluster: 7, from, to, term, body: MessageBody::TimeoutNow };
         self.step(place, Input::Message(message), planted);
     }
 
@@ -198,10 +187,7 @@
     /// not rest on the lease.
     fn deliver(&mut self, message: Message, planted: Planted) {
         let place = message.to as usize - 1;
-        let asks = matches!(
-            message.body,
-            MessageBody::Vote { .. } | MessageBody::PreVote { .. }
-        );
+        let asks = matches!(message.body, MessageBody::Vote { .. } | MessageBody::PreVote { .. });
         let member = Arc::make_mut(&mut self.members[place]);
         if asks && !member.quiet && !member.replica.is_leader() {
             member.clock += 2 * TIMEOUT_MS;
@@ -235,9 +221,7 @@
             match effect {
                 Effect::Persist(request) => {
                     early = Some(request.ticket);
-                    Arc::make_mut(&mut self.members[place])
-                        .storage
-                        .stage(request);
+                    Arc::make_mut(&mut self.members[place]).storage.stage(request);
                 }
                 Effect::Send { message, .. } => self.network.push(message),
                 Effect::BecameLeader { term } => self.check_leader(place, term),
@@ -246,8 +230,7 @@
             }
         }
         if !self.budget.appends {
-            self.network
-                .retain(|m| !matches!(m.body, MessageBody::Append(_)));
+            self.network.retain(|m| !matches!(m.body, MessageBody::Append(_)));
         }
         if self.network.len() > before {
             self.network.sort_by_cached_key(Message::to_bytes);
@@ -287,18 +270,10 @@
     fn forget_dead_messages(&mut self) {
         let members = &self.members;
         self.network.retain(|m| {
-            let synced = members[m.to as usize - 1]
-                .storage
-                .synced_state()
-                .hard_state
-                .term;
+            let synced = members[m.to as usize - 1].storage.synced_state().hard_state.term;
             match m.body {
-                MessageBody::PreVoteReply { next_term, granted } => {
-                    next_term > synced && (granted || m.term > synced)
-                }
-                MessageBody::VoteReply { granted } => {
-                    m.term > synced || granted && m.term == synced
-                }
+                MessageBody::PreVoteReply { next_term, granted } => next_term > synced && (granted || m.term > synced),
+                MessageBody::VoteReply { granted } => m.term > synced || granted && m.term == synced,
                 MessageBody::AppendAck(_) => m.term >= synced,
                 _ => true,
             }
@@ -307,14 +282,7 @@
 
     /// Member 1 leads, its first entry is committed everywhere, nothing travels.
     fn settled(budget: Budget) -> Self {
-        let script = Budget {
-            timeouts: 1,
-            campaigns: 0,
-            proposals: 0,
-            crashes: 0,
-            duplicates: 0,
-            appends: true,
-        };
+        let script = Budget { timeouts: 1, campaigns: 0, proposals: 0, crashes: 0, duplicates: 0, appends: true };
         let mut state = initial(script).after(Action::Timeout(0), Planted::Nothing);
         while let Some(action) = state.actions().first().copied() {
             state = state.after(action, Planted::Nothing);
@@ -322,11 +290,7 @@
         assert_eq!(state.leaders.get(&1), Some(&1));
         assert!(state.members.iter().all(|m| m.replica.commit_index() == 1));
         // The first to run against it is member 2.
-        Self {
-            budget,
-            started: false,
-            ..state
-        }
+        Self { budget, started: false, ..state }
     }
 
     fn fingerprint(&self) -> u64 {
@@ -338,11 +302,7 @@
 
 /// Visits every state in reach; says how many there are, how many had a leader
 /// elected and an entry committed, and the first violation.
-fn search(
-    first: State,
-    planted: Planted,
-    limit: usize,
-) -> (usize, usize, usize, Option<&'static str>) {
+fn search(first: State, planted: Planted, limit: usize) -> (usize, usize, usize, Option<&'static str>) {
     let mut seen = BTreeSet::from([first.fingerprint()]);
     // A fault is found nearest first; a whole search needs less memory depth first.
     let mut open = VecDeque::from([first]);
@@ -363,10 +323,7 @@
                 open.push_back(next);
             }
         }
-        assert!(
-            seen.len() <= limit,
-            "more than {limit} states: the bounds are too wide"
-        );
+        assert!(seen.len() <= limit, "more than {limit} states: the bounds are too wide");
     }
     (seen.len(), led, committed, None)
 }
@@ -380,115 +337,52 @@
     (led, committed)
 }
 
-const NONE: Budget = Budget {
-    timeouts: 0,
-    campaigns: 0,
-    proposals: 0,
-    crashes: 0,
-    duplicates: 0,
-    appends: false,
-};
+const NONE: Budget = Budget { timeouts: 0, campaigns: 0, proposals: 0, crashes: 0, duplicates: 0, appends: false };
 
 #[test]
 fn elections_with_two_timeouts() {
-    let found = holds(
-        "two timeouts",
-        initial(Budget {
-            timeouts: 2,
-            ..NONE
-        }),
-    );
+    let found = holds("two timeouts", initial(Budget { timeouts: 2, ..NONE }));
     assert!(found.0 > 0);
 }
 
 #[test]
 fn elections_with_two_timeouts_and_a_crash() {
-    let budget = Budget {
-        timeouts: 2,
-        crashes: 1,
-        ..NONE
-    };
+    let budget = Budget { timeouts: 2, crashes: 1, ..NONE };
     assert!(holds("two timeouts, a crash", initial(budget)).0 > 0);
 }
 
 #[test]
 fn elections_with_three_runs_or_a_doubled_message() {
-    let found = holds(
-        "three runs",
-        initial(Budget {
-            campaigns: 3,
-            ..NONE
-        }),
-    );
+    let found = holds("three runs", initial(Budget { campaigns: 3, ..NONE }));
     assert!(found.0 > 0);
-    let budget = Budget {
-        campaigns: 2,
-        crashes: 1,
-        duplicates: 1,
-        ..NONE
-    };
+    let budget = Budget { campaigns: 2, crashes: 1, duplicates: 1, ..NONE };
     let found = holds("two runs, a crash, a doubled message", initial(budget));
     assert!(found.0 > 0);
 }
 
 #[test]
 fn a_first_term_with_a_crash() {
-    let budget = Budget {
-        timeouts: 1,
-        crashes: 1,
-        appends: true,
-        ..NONE
-    };
+    let budget = Budget { timeouts: 1, crashes: 1, appends: true, ..NONE };
     assert!(holds("a first term, a crash", initial(budget)).1 > 0);
 }
 
 #[test]
 fn a_proposal_across_a_change_of_leader() {
-    let budget = Budget {
-        campaigns: 1,
-        proposals: 1,
-        appends: true,
-        ..NONE
-    };
+    let budget = Budget { campaigns: 1, proposals: 1, appends: true, ..NONE };
     assert!(holds("a proposal, a run", State::settled(budget)).1 > 0);
-    let budget = Budget {
-        proposals: 1,
-        crashes: 1,
-        duplicates: 1,
-        appends: true,
-        ..NONE
-    };
-    assert!(
-        holds(
-            "a proposal, a crash, a doubled message",
-            State::settled(budget)
-        )
-        .1 > 0
-    );
+    let budget = Budget { proposals: 1, crashes: 1, duplicates: 1, appends: true, ..NONE };
+    assert!(holds("a proposal, a crash, a doubled message", State::settled(budget)).1 > 0);
 }
 
 #[test]
 fn the_search_finds_planted_faults() {
-    let budget = Budget {
-        campaigns: 2,
-        crashes: 1,
-        ..NONE
-    };
+    let budget = Budget { campaigns: 2, crashes: 1, ..NONE };
     let found = search(initial(budget), Planted::ForgetsVotes, 1_000_000);
     println!("forgets votes: {found:?}");
     assert_eq!(found.3, Some("election safety"));
 
-    let budget = Budget {
-        campaigns: 1,
-        proposals: 1,
-        crashes: 1,
-        appends: true,
-        ..NONE
-    };
+    let budget = Budget { campaigns: 1, proposals: 1, crashes: 1, appends: true, ..NONE };
     let found = search(State::settled(budget), Planted::AcksEarly, 1_000_000);
     println!("acknowledges before the sync: {found:?}");
-    assert!(matches!(
-        found.3,
-        Some("leader completeness" | "state machine safety")
-    ));
+    assert!(matches!(found.3, Some("leader completeness" | "state machine safety")));
 }
--- a/crates/replicated-log/tests/planted_faults.rs
+++ b/crates/replicated-log/tests/planted_faults.rs
@@ -18,20 +18,14 @@
 }
 
 fn seeds_that_fire(fault: Fault, rule: Rule) -> usize {
-    (0..40)
-        .filter(|seed| run_with(fault, *seed).checker.fired(rule))
-        .count()
+    (0..40).filter(|seed| run_with(fault, *seed).checker.fired(rule)).count()
 }
 
 #[test]
 fn sound_executors_fire_nothing() {
     for seed in 0..40 {
         let world = run_with(Fault::None, seed);
-        assert!(
-            world.checker.violations.is_empty(),
-            "{:?}",
-            world.checker.violations
-        );
+        assert!(world.checker.violations.is_empty(), "{:?}", world.checker.violations);
     }
 }
 
@@ -90,12 +84,7 @@
 }
 
 fn entry(index: Index, term: Term, log_time: Millis, byte: u8) -> LogEntry {
-    LogEntry {
-        term,
-        index,
-        log_time,
-        body: LogEntryBody::Command(vec![byte]),
-    }
+    LogEntry { term, index, log_time, body: LogEntryBody::Command(vec![byte]) }
 }
 
 #[test]
--- a/crates/replicated-log/tests/simulation.rs
+++ b/crates/replicated-log/tests/simulation.rs
@@ -38,30 +38,13 @@
         add("transfers", world.transfers);
         add("members", world.nodes.len() as u64);
         add("leases", world.checker.leases_seen);
-        add(
-            "truncated",
-            replicas().map(|r| r.counters().truncated).sum(),
-        );
-        add(
-            "installed",
-            replicas().map(|r| r.counters().snapshots_installed).sum(),
-        );
+        add("truncated", replicas().map(|r| r.counters().truncated).sum());
+        add("installed", replicas().map(|r| r.counters().snapshots_installed).sum());
         add("torn", world.nodes.values().map(|n| n.storage.torn()).sum());
-        add(
-            "votes_ignored",
-            replicas().map(|r| r.counters().votes_ignored).sum(),
-        );
+        add("votes_ignored", replicas().map(|r| r.counters().votes_ignored).sum());
     }
     println!("seeds {seeds:?}: {totals:?}");
-    for name in [
-        "answered",
-        "changes",
-        "transfers",
-        "truncated",
-        "installed",
-        "torn",
-        "leases",
-    ] {
+    for name in ["answered", "changes", "transfers", "truncated", "installed", "torn", "leases"] {
         assert!(totals[name] > 0, "the trouble never caused any {name}");
     }
 }
@@ -93,26 +76,15 @@
 fn seeds_that_once_showed_a_fault() {
     for seed in [82, 144, 237, 724, 3699, 8063] {
         let world = run_seed(seed);
-        assert!(
-            world.checker.violations.is_empty(),
-            "seed {seed}: {:?}",
-            world.checker.violations
-        );
+        assert!(world.checker.violations.is_empty(), "seed {seed}: {:?}", world.checker.violations);
     }
 }
 
 #[test]
 fn one_seed_twice_gives_the_same_run() {
-    let seed = std::env::var("FIRLOCK_SEED")
-        .ok()
-        .and_then(|s| s.parse().ok())
-        .unwrap_or(4242);
+    let seed = std::env::var("FIRLOCK_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(4242);
     let (first, second) = (run_seed(seed), run_seed(seed));
-    assert!(
-        first.checker.violations.is_empty(),
-        "{:?}",
-        first.checker.violations
-    );
+    assert!(first.checker.violations.is_empty(), "{:?}", first.checker.violations);
     assert_eq!(first.steps, second.steps);
     assert_eq!(first.checker.committed, second.checker.committed);
 }
--- a/crates/replicated-log/tests/storage.rs
+++ b/crates/replicated-log/tests/storage.rs
@@ -4,12 +4,7 @@
 
 fn entry(term: Term, index: Index) -> LogEntry {
     let body = LogEntryBody::Command(vec![index as u8; 20]);
-    LogEntry {
-        term,
-        index,
-        log_time: index * 10,
-        body,
-    }
+    LogEntry { term, index, log_time: index * 10, body }
 }
 
 fn founding() -> RestoredState {
@@ -20,55 +15,21 @@
 /// Writes of every kind, in the order a replica might ask for them.
 fn writes() -> Vec<PersistRequest> {
     let base = PersistRequest::default;
-    let hard_state = Some(HardState {
-        term: 4,
-        voted_for: Some(2),
-    });
-    let Some(mut snapshot) = founding().snapshot else {
-        unreachable!()
-    };
+    let hard_state = Some(HardState { term: 4, voted_for: Some(2) });
+    let Some(mut snapshot) = founding().snapshot else { unreachable!() };
     (snapshot.index, snapshot.term, snapshot.bytes) = (6, 2, (0..1000).map(|b| b as u8).collect());
-    let far = Snapshot {
-        index: 20,
-        term: 4,
-        bytes: vec![9; 33],
-        ..snapshot.clone()
-    };
+    let far = Snapshot { index: 20, term: 4, bytes: vec![9; 33], ..snapshot.clone() };
     vec![
         founding().as_request(),
-        PersistRequest {
-            ticket: 1,
-            entries: (1..=8).map(|i| entry(1, i)).collect(),
-            ..base()
-        },
-        PersistRequest {
-            ticket: 2,
-            hard_state,
-            truncate_from: Some(5),
-            entries: (5..=300).map(|i| entry(2, i)).collect(),
-            ..base()
-        },
-        PersistRequest {
-            ticket: 3,
-            snapshot: Some(Arc::new(snapshot)),
-            compact_to: Some(4),
-            ..base()
-        },
-        PersistRequest {
-            ticket: 4,
-            snapshot: Some(Arc::new(far)),
-            truncate_from: Some(0),
-            entries: vec![entry(4, 21)],
-            ..base()
-        },
+        PersistRequest { ticket: 1, entries: (1..=8).map(|i| entry(1, i)).collect(), ..base() },
+        PersistRequest { ticket: 2, hard_state, truncate_from: Some(5), entries: (5..=300).map(|i| entry(2, i)).collect(), ..base() },
+        PersistRequest { ticket: 3, snapshot: Some(Arc::new(snapshot)), compact_to: Some(4), ..base() },
+        PersistRequest { ticket: 4, snapshot: Some(Arc::new(far)), truncate_from: Some(0), entries: vec![entry(4, 21)], ..base() },
     ]
 }
 
 fn settings() -> LogSettings {
-    LogSettings {
-        snapshot_chunk_bytes: 64,
-        ..LogSettings::default()
-    }
+    LogSettings { snapshot_chunk_bytes: 64, ..LogSettings::default() }
 }
 
 #[test]
@@ -82,12 +43,7 @@
         assert_eq!(sled.load().unwrap(), memory.load().unwrap());
         drop(sled);
         let reopened = reopen(folder.path());
-        assert_eq!(
-            reopened.load().unwrap(),
-            memory.load().unwrap(),
-            "ticket {}",
-            request.ticket
-        );
+        assert_eq!(reopened.load().unwrap(), memory.load().unwrap(), "ticket {}", request.ticket);
     }
 }
 
@@ -156,51 +112,23 @@
             db.insert(key(9), bytes).unwrap();
         }
     };
-    assert!(matches!(
-        load_after(flip(12)),
-        Err(StorageError::BadChecksum { .. })
-    ));
-    assert!(matches!(
-        load_after(flip(0)),
-        Err(StorageError::UnknownVersion { version: 0x41 })
-    ));
+    assert!(matches!(load_after(flip(12)), Err(StorageError::BadChecksum { .. })));
+    assert!(matches!(load_after(flip(0)), Err(StorageError::UnknownVersion { version: 0x41 })));
     let cut = load_after(|db| drop(db.insert(key(9), &[1u8, 2][..]).unwrap()));
     assert!(matches!(cut, Err(StorageError::TooShort { bytes: 2 })));
     let gap = load_after(|db| drop(db.remove(key(9)).unwrap()));
-    assert!(matches!(
-        gap,
-        Err(StorageError::Gap {
-            wanted: 9,
-            found: 10
-        })
-    ));
+    assert!(matches!(gap, Err(StorageError::Gap { wanted: 9, found: 10 })));
     let early = load_after(|db| (5..=7).for_each(|i| drop(db.remove(key(i)).unwrap())));
-    assert!(matches!(
-        early,
-        Err(StorageError::Gap {
-            wanted: 7,
-            found: 8
-        })
-    ));
+    assert!(matches!(early, Err(StorageError::Gap { wanted: 7, found: 8 })));
     let piece = [b"c".as_slice(), &6u64.to_be_bytes(), &3u32.to_be_bytes()].concat();
     let hole = load_after(move |db| drop(db.remove(&piece).unwrap()));
-    assert!(matches!(
-        hole,
-        Err(StorageError::SnapshotIncomplete {
-            wanted: 1000,
-            found: 192
-        })
-    ));
+    assert!(matches!(hole, Err(StorageError::SnapshotIncomplete { wanted: 1000, found: 192 })));
 }
 
 #[test]
 fn a_crash_loses_what_is_not_synced_and_a_tear_drops_the_cut_write_whole() {
     let mut memory = MemoryLogStorage::new(founding());
-    let request = |index| PersistRequest {
-        ticket: index,
-        entries: vec![entry(1, index)],
-        ..Default::default()
-    };
+    let request = |index| PersistRequest { ticket: index, entries: vec![entry(1, index)], ..Default::default() };
     memory.stage(request(1));
     assert_eq!(memory.sync(), Some(1));
     for index in 2..=4 {
@@ -235,15 +163,10 @@
                 match effect {
                     Effect::Persist(request) => {
                         storage.write(&request).unwrap();
-                        inputs.push_back(Input::Persisted {
-                            ticket: request.ticket,
-                        });
+                        inputs.push_back(Input::Persisted { ticket: request.ticket });
                     }
                     Effect::BecameLeader { .. } => {
-                        inputs.push_back(Input::Propose {
-                            token: 1,
-                            command: vec![life as u8; 9],
-                        });
+                        inputs.push_back(Input::Propose { token: 1, command: vec![life as u8; 9] });
                     }
                     Effect::Commit { entries } => committed += entries.len(),
                     _ => {}
--- a/crates/replicated-log/tests/support/chaos.rs
+++ b/crates/replicated-log/tests/support/chaos.rs
@@ -2,12 +2,7 @@
 
 impl World {
     fn any_node(&mut self) -> NodeId {
-        let ids: Vec<_> = self
-            .nodes
-            .values()
-            .filter(|n| !n.lost)
-            .map(|n| n.id)
-            .collect();
+        let ids: Vec<_> = self.nodes.values().filter(|n| !n.lost).map(|n| n.id).collect();
         ids[self.random.below(ids.len() as u64) as usize]
     }
 
@@ -25,8 +20,7 @@
             1 => self.cut.extend([(a, b), (b, a)]),
             2 => {
                 let others: Vec<_> = self.nodes.keys().copied().collect();
-                self.cut
-                    .extend(others.iter().flat_map(|o| [(a, *o), (*o, a)]));
+                self.cut.extend(others.iter().flat_map(|o| [(a, *o), (*o, a)]));
             }
             3 | 4 => self.cut.clear(),
             5 => self.crash_later_start(a),
@@ -86,9 +80,7 @@
     /// A membership as some live leader sees it, if committed there.
     fn settled_members(&self) -> Option<Membership> {
         let replica = self.nodes.get(&self.leader()?)?.replica.as_ref()?;
-        replica
-            .membership_committed()
-            .then(|| replica.membership().clone())
+        replica.membership_committed().then(|| replica.membership().clone())
     }
 
     fn change(&mut self, change: MembershipChange) {
@@ -134,10 +126,7 @@
                 id
             }
         };
-        self.change(MembershipChange::AddLearner {
-            id,
-            address: home(id),
-        });
+        self.change(MembershipChange::AddLearner { id, address: home(id) });
     }
 
     fn lose_disk(&mut self, id: NodeId) {
--- a/crates/replicated-log/tests/support/checker.rs
+++ b/crates/replicated-log/tests/support/checker.rs
@@ -28,9 +28,7 @@
 /// A fingerprint of bytes, chained.
 pub fn chain(seed: u64, entry: &LogEntry) -> u64 {
     let bytes = StoredRecord::encode(entry);
-    bytes.iter().fold(seed ^ 0xcbf2_9ce4_8422_2325, |h, b| {
-        (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3)
-    })
+    bytes.iter().fold(seed ^ 0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3))
 }
 
 /// Sees every effect, asks no replica for its opinion of itself.
@@ -59,10 +57,7 @@
     pub fn became_leader(&mut self, id: NodeId, term: Term, log: &LogTail) {
         let first = *self.leaders.entry(term).or_insert(id);
         if first != id {
-            self.report(
-                Rule::ElectionSafety,
-                format!("term {term}: {first} and {id}"),
-            );
+            self.report(Rule::ElectionSafety, format!("term {term}: {first} and {id}"));
         }
         for (index, (entry_term, ..)) in self.committed.range(log.base_index() + 1..) {
             if self.committed_in[index] < term && log.term_at(*index) != Some(*entry_term) {
@@ -75,10 +70,7 @@
 
     pub fn appended(&mut self, entry: &LogEntry, prev_term: Option<Term>) {
         let seen = (chain(0, entry), prev_term);
-        let first = *self
-            .appended
-            .entry((entry.index, entry.term))
-            .or_insert(seen);
+        let first = *self.appended.entry((entry.index, entry.term)).or_insert(seen);
         let prev_differs = matches!((first.1, prev_term), (Some(a), Some(b)) if a != b);
         if first.0 != seen.0 || prev_differs {
             self.report(Rule::LogMatching, format!("{}/{}", entry.index, entry.term));
@@ -95,8 +87,7 @@
             let detail = format!("member {id} at {index}: {seen:?}, first {first:?}");
             self.report(Rule::StateMachineSafety, detail);
         }
-        if let Some((term, _, log_time)) = index.checked_sub(1).and_then(|i| self.committed.get(&i))
-        {
+        if let Some((term, _, log_time)) = index.checked_sub(1).and_then(|i| self.committed.get(&i)) {
             let (before, rises) = (*log_time, entry.term > *term);
             if entry.log_time < before || (rises && entry.log_time == before) {
                 let detail = format!("{index}: {} after {before}", entry.log_time);
--- a/crates/replicated-log/tests/support/node.rs
+++ b/crates/replicated-log/tests/support/node.rs
@@ -60,18 +60,12 @@
 
     /// Its monotonic clock at a true time.
     pub fn clock(&self, now: Millis) -> Millis {
-        let rate = if self.fault == Fault::FastClock {
-            3000
-        } else {
-            self.rate
-        };
+        let rate = if self.fault == Fault::FastClock { 3000 } else { self.rate };
         self.offset + now * rate / 1000
     }
 
     pub fn start(&mut self, settings: &LogSettings, now: Millis, seed: u64) {
-        let Ok(restored) = self.storage.load() else {
-            unreachable!("memory loads")
-        };
+        let Ok(restored) = self.storage.load() else { unreachable!("memory loads") };
         self.life += 1;
         self.syncing = 0;
         (self.applied, self.digest) = match &restored.snapshot {
@@ -106,21 +100,13 @@
     /// acknowledgement may have been on its way.
     pub fn holds(&self, entry: &LogEntry) -> bool {
         let state = self.storage.synced_state();
-        let covered = state
-            .snapshot
-            .as_ref()
-            .is_some_and(|s| s.index >= entry.index);
-        let place = state
-            .entries
-            .first()
-            .and_then(|f| entry.index.checked_sub(f.index));
+        let covered = state.snapshot.as_ref().is_some_and(|s| s.index >= entry.index);
+        let place = state.entries.first().and_then(|f| entry.index.checked_sub(f.index));
         let stored = place.and_then(|p| state.entries.get(p as usize));
         covered || stored.is_some_and(|e| e.term == entry.term)
     }
 }
 
 pub fn digest_of(bytes: &[u8]) -> u64 {
-    bytes
-        .first_chunk::<8>()
-        .map_or(0, |b| u64::from_be_bytes(*b))
+    bytes.first_chunk::<8>().map_or(0, |b| u64::from_be_bytes(*b))
 }
--- a/crates/replicated-log/tests/support/world.rs
+++ b/crates/replicated-log/tests/support/world.rs
@@ -219,9 +219,7 @@
                 let (index, bytes) = (node.applied, node.snapshot_bytes());
                 self.step(id, Input::SnapshotMade { index, bytes });
             }
-            Effect::Shed { .. }
-            | Effect::TransferStarted { .. }
-            | Effect::LostLeadership { .. } => {}
+            Effect::Shed { .. } | Effect::TransferStarted { .. } | Effect::LostLeadership { .. } => {}
         }
     }
 
@@ -238,10 +236,7 @@
         if node.fault == Fault::AcksWithoutStoring {
             // Only term and vote reach the disk.
             let ticket = request.ticket;
-            node.storage.stage(PersistRequest {
-                entries: Vec::new(),
-                ..request
-            });
+            node.storage.stage(PersistRequest { entries: Vec::new(), ..request });
             node.storage.sync();
             self.step(id, Input::Persisted { ticket });
             return;
@@ -286,13 +281,7 @@
             if self.random.below(1000) < self.late_permille {
                 delay += self.random.below(3 * self.settings.election_timeout_ms);
             }
-            self.at(
-                delay,
-                Event::Deliver {
-                    to,
-                    bytes: message.to_bytes(),
-                },
-            );
+            self.at(delay, Event::Deliver { to, bytes: message.to_bytes() });
         }
     }
 
@@ -322,18 +311,8 @@
     fn check_leases(&mut self) {
         let now = self.now;
         let leading = |n: &&Node| n.replica.as_ref().is_some_and(Replica::is_leader);
-        let holds = |n: &Node| {
-            n.replica
-                .as_ref()
-                .is_some_and(|r| r.has_lease(n.clock(now)))
-        };
-        let holders: Vec<_> = self
-            .nodes
-            .values()
-            .filter(leading)
-            .filter(|n| holds(n))
-            .map(|n| n.id)
-            .collect();
+        let holds = |n: &Node| n.replica.as_ref().is_some_and(|r| r.has_lease(n.clock(now)));
+        let holders: Vec<_> = self.nodes.values().filter(leading).filter(|n| holds(n)).map(|n| n.id).collect();
         self.checker.leases(&holders);
     }
 
@@ -354,13 +333,7 @@
         self.token += 1;
         let mut command = self.token.to_be_bytes().to_vec();
         command.resize(8 + self.random.below(60) as usize, 1);
-        self.step(
-            id,
-            Input::Propose {
-                token: self.token,
-                command,
-            },
-        );
+        self.step(id, Input::Propose { token: self.token, command });
     }
 
     /// Ends all trouble, then wants a new command applied by every member.
@@ -382,13 +355,11 @@
         self.propose();
         self.run_until(self.now + self.settings.election_timeout_ms * 2);
         let Some(leader) = self.leader() else {
-            self.checker
-                .report(Rule::Liveness, "no leader after healing".into());
+            self.checker.report(Rule::Liveness, "no leader after healing".into());
             return;
         };
         if self.checker.committed.len() <= before {
-            self.checker
-                .report(Rule::Liveness, "nothing committed after healing".into());
+            self.checker.report(Rule::Liveness, "nothing committed after healing".into());
         }
         self.check_members(leader);
     }
@@ -398,11 +369,7 @@
             return;
         };
         let (members, last) = (replica.membership().clone(), replica.commit_index());
-        let tip = self
-            .checker
-            .committed
-            .get(&last)
-            .map(|(_, digest, _)| *digest);
+        let tip = self.checker.committed.get(&last).map(|(_, digest, _)| *digest);
         for (id, _) in members.members() {
             let Some(node) = self.nodes.get(&id).filter(|n| !n.lost) else {
                 continue;
--- a/crates/scheduler-core/src/call_decision.rs
+++ b/crates/scheduler-core/src/call_decision.rs
@@ -40,7 +40,11 @@
             CallBody::ListJobs(c) => now(Ok(AnswerBody::ListJobs(s.list_jobs(&c)))),
             CallBody::ExplainJob(c) => now(s.explain(&c.name).map(AnswerBody::ExplainJob)),
             CallBody::RegisterWorker(c) => match s.worker(&c.name) {
-                Some((_, w)) if w.told == RegisterWorker { boot_id: w.told.boot_id.clone(), ..c.clone() } && !w.old_boots.contains(&c.boot_id) => now(Ok(AnswerBody::RegisterWorker(WorkerRegistered { reborn: w.told.boot_id != c.boot_id, name: c.name }))),
+                Some((_, w))
+                    if w.told == RegisterWorker { boot_id: w.told.boot_id.clone(), ..c.clone() } && !w.old_boots.contains(&c.boot_id) =>
+                {
+                    now(Ok(AnswerBody::RegisterWorker(WorkerRegistered { reborn: w.told.boot_id != c.boot_id, name: c.name })))
+                }
                 _ => CallDecision::Propose(Command::Register(c)),
             },
             CallBody::DrainWorker(c) => CallDecision::Propose(Command::Drain(c)),
--- a/crates/scheduler-core/src/cluster_state.rs
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -120,7 +120,11 @@
     /// Encodes a snapshot.
     pub fn to_bytes(&self) -> Vec<u8> {
         let mut body = Vec::new();
-        let parts = (&self.tables, minicbor::bytes::ByteVec::from(self.configuration.encode()), minicbor::bytes::ByteVec::from(self.bands.encode()));
+        let parts = (
+            &self.tables,
+            minicbor::bytes::ByteVec::from(self.configuration.encode()),
+            minicbor::bytes::ByteVec::from(self.bands.encode()),
+        );
         // Writing into a Vec can't fail.
         let _ = minicbor::encode(parts, &mut body);
         let mut v = Vec::with_capacity(1 + CHECK_BYTES + body.len());
@@ -144,8 +148,7 @@
         ensure!(found == SNAPSHOT_VERSION, VersionSnafu { found });
         let (check, rest) = rest.split_at_checked(CHECK_BYTES).context(DamagedSnafu)?;
         ensure!(Sha256::digest(rest)[..CHECK_BYTES] == *check, DamagedSnafu);
-        let (tables, c, p): (Tables, minicbor::bytes::ByteVec, minicbor::bytes::ByteVec) =
-            minicbor::decode(rest).context(DecodingSnafu)?;
+        let (tables, c, p): (Tables, minicbor::bytes::ByteVec, minicbor::bytes::ByteVec) = minicbor::decode(rest).context(DecodingSnafu)?;
         let configuration = ConfigurationHistory::decode(&c, ConfigurationSettings::default()).context(ConfigurationSnafu)?;
         let bands = FleetBands::decode(placement_settings(), PlacementStrategy::Lava, &p).context(PlacementSnafu)?;
         Ok(Self::of(tables, configuration, bands))
@@ -189,7 +192,12 @@
             false => self.queue_zones.get(queue)?.iter().filter_map(fold).collect(),
         };
         let most = |f: fn(&QueueSettings) -> u64| all.iter().map(|q| f(&q.settings)).max();
-        Some((most(|s| s.urgency)? as u8, most(|s| s.max_waiting_jobs)?, most(|s| s.retention_s)? * 1_000, most(|s| s.allowed_failures_max)?))
+        Some((
+            most(|s| s.urgency)? as u8,
+            most(|s| s.max_waiting_jobs)?,
+            most(|s| s.retention_s)? * 1_000,
+            most(|s| s.allowed_failures_max)?,
+        ))
     }
 
     /// The urgency in force of a job of a queue: what its caller asked for, up to its queue's.
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -129,7 +129,17 @@
         }
         self.names.insert(spec.name.clone(), number);
         *self.open_jobs.entry(spec.queue.clone()).or_default() += 1;
-        let job = Job { number, spec: Some(Box::new(JobSpec::clone(spec))), digest, summary, due_at, due: false, ending: None, steps, forget_at: 0 };
+        let job = Job {
+            number,
+            spec: Some(Box::new(JobSpec::clone(spec))),
+            digest,
+            summary,
+            due_at,
+            due: false,
+            ending: None,
+            steps,
+            forget_at: 0,
+        };
         self.tables.jobs.insert(number, job);
         self.timed.insert((due_at, number));
     }
@@ -228,7 +238,20 @@
         *u = (u.0 + 1, u.1.add(room));
         self.on_worker.entry(worker).or_default().insert(task);
         self.unproven.insert((at + self.tables.rules.unproven_ms, task));
-        let a = Attempt { number, key, worker, gateway, instance, term, intended_at: at, started: None, stop: None, room, check_at: 0, overdue: false };
+        let a = Attempt {
+            number,
+            key,
+            worker,
+            gateway,
+            instance,
+            term,
+            intended_at: at,
+            started: None,
+            stop: None,
+            room,
+            check_at: 0,
+            overdue: false,
+        };
         self.tables.attempts.insert(task, a);
         let place = self.task_to_place(&spec, task.step, key);
         // A worker that the tables know is known to the bands: folded from the same events.
--- a/crates/scheduler-core/src/ledger_jobs.rs
+++ b/crates/scheduler-core/src/ledger_jobs.rs
@@ -31,7 +31,13 @@
     }
 
     /// A tree of settings, as a patch on its base.
-    pub(crate) fn patch_configuration(&mut self, base: u64, change_id: &str, digest: &str, patch: &str) -> CallResult<ConfigurationAccepted> {
+    pub(crate) fn patch_configuration(
+        &mut self,
+        base: u64,
+        change_id: &str,
+        digest: &str,
+        patch: &str,
+    ) -> CallResult<ConfigurationAccepted> {
         let c = &self.state.configuration;
         if let Some(o) = c.applied(change_id) {
             ensure!(o.digest.to_string() == digest, call_error::conflict("change", change_id));
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -70,7 +70,9 @@
                     self.settle_gang(a.task);
                 }
                 Some(_) => {}
-                None if self.is_over(a) && !f.ended.iter().any(|e| e.attempt == a) => self.emit(Event::OrphanSeen { worker: i, attempt: a }),
+                None if self.is_over(a) && !f.ended.iter().any(|e| e.attempt == a) => {
+                    self.emit(Event::OrphanSeen { worker: i, attempt: a })
+                }
                 None => {}
             }
         }
@@ -190,7 +192,10 @@
 
     /// A zone evacuation, or its end. What runs until cancelled moves; what ends by itself may end.
     pub(crate) fn evacuate(&mut self, e: EvacuateZone) -> CallResult<ZoneEvacuated> {
-        ensure!(!e.zone.is_empty() && !e.order_id.is_empty(), call_error::invalid(vec![Fault::new("order_id", "zone and order_id want a value")]));
+        ensure!(
+            !e.zone.is_empty() && !e.order_id.is_empty(),
+            call_error::invalid(vec![Fault::new("order_id", "zone and order_id want a value")])
+        );
         let t = &self.state.tables;
         let known = self.state.effective.zone(&e.zone).is_some()
             || t.workers.values().any(|w| w.told.zone == e.zone)
--- a/crates/scheduler-core/src/queries.rs
+++ b/crates/scheduler-core/src/queries.rs
@@ -45,9 +45,12 @@
     pub fn list_jobs(&self, l: &ListJobs) -> JobList {
         let most = l.limit.unwrap_or(PAGE.1).min(PAGE.0) as usize;
         let from = l.after.map_or(0, |a| a.saturating_add(1));
-        let mut it = self.tables.jobs.range(from..).map(|(_, j)| &j.summary).filter(|s| {
-            l.queue.as_ref().is_none_or(|q| *q == s.queue) && l.state.is_none_or(|x| x == s.state)
-        });
+        let mut it = self
+            .tables
+            .jobs
+            .range(from..)
+            .map(|(_, j)| &j.summary)
+            .filter(|s| l.queue.as_ref().is_none_or(|q| *q == s.queue) && l.state.is_none_or(|x| x == s.state));
         let jobs: Vec<JobSummary> = it.by_ref().take(most).cloned().collect();
         let next = it.next().and(jobs.last().map(|j| j.job));
         JobList { jobs, next }
@@ -135,7 +138,12 @@
             value: Payload(values.get(setting).cloned().unwrap_or_default()),
             origin: serde_json::to_value(level).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default(),
         });
-        Ok(EffectiveSettings { zone: g.zone.clone(), queue: g.queue.clone(), version: self.configuration.version(), values: values.collect() })
+        Ok(EffectiveSettings {
+            zone: g.zone.clone(),
+            queue: g.queue.clone(),
+            version: self.configuration.version(),
+            values: values.collect(),
+        })
     }
 }
 
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -182,7 +182,15 @@
                 Effect::BecameLeader { term } => {
                     self.leading = Some((term, false));
                     self.led_since = now;
-                    self.heard = self.ledger.state.tables.gateways.iter().filter(|(_, g)| g.alive).map(|(n, g)| (n.clone(), (g.instance, now))).collect();
+                    self.heard = self
+                        .ledger
+                        .state
+                        .tables
+                        .gateways
+                        .iter()
+                        .filter(|(_, g)| g.alive)
+                        .map(|(n, g)| (n.clone(), (g.instance, now)))
+                        .collect();
                     self.effects.push(SchedulerEffect::Leading(Some(term)));
                 }
                 Effect::LostLeadership { .. } => self.lost_leadership(),
@@ -252,7 +260,7 @@
                 s.reports.pop_front();
             }
             if let Some(report) = done {
-                self.effects.push(SchedulerEffect::Gateway(*c, SchedulerFrame::FactsDone { report }));
+                self.effects.push(SchedulerEffect::Gateway(*c, Box::new(SchedulerFrame::FactsDone { report })));
             }
         }
     }
@@ -260,7 +268,7 @@
     pub(crate) fn answer(&mut self, w: (ChannelId, u64), result: CallResult<AnswerBody>) {
         self.counters.answers += 1;
         self.counters.shed += u64::from(matches!(result, Err(CallError::Shed { .. })));
-        self.effects.push(SchedulerEffect::Gateway(w.0, SchedulerFrame::Answer { request: w.1, result }));
+        self.send_gateway(w.0, SchedulerFrame::Answer { request: w.1, result });
     }
 
     /// A batch did not get into the log: whoever waits may come back.
@@ -289,7 +297,7 @@
         self.inbox.clear();
         let frame = self.not_leader();
         for (c, _) in std::mem::take(&mut self.sessions) {
-            self.effects.push(SchedulerEffect::Gateway(c, frame.clone()));
+            self.send_gateway(c, frame.clone());
         }
         self.effects.push(SchedulerEffect::Leading(None));
     }
@@ -324,7 +332,7 @@
         if !self.is_serving(now) {
             let frame = self.not_leader();
             self.sessions.remove(&c);
-            self.effects.push(SchedulerEffect::Gateway(c, frame));
+            self.send_gateway(c, frame);
             return;
         }
         if let GatewayFrame::Attach { wire_version, cluster, name, instance, zone, http_address, view, configuration } = f {
@@ -333,7 +341,7 @@
                     true => CallError::UnknownVersion { found: wire_version, wanted: WIRE_VERSION },
                     false => CallError::NotAllowed { name: cluster, reason: "is another cluster".to_owned() },
                 };
-                self.effects.push(SchedulerEffect::Gateway(c, SchedulerFrame::Shed(error)));
+                self.send_gateway(c, SchedulerFrame::Shed(error));
                 return;
             }
             let record = GatewayRecord { instance, zone, http_address, alive: true };
@@ -353,8 +361,9 @@
             self.sessions.insert(c, session);
             self.heard.insert(name.clone(), (instance, now));
             let log_time_ms = self.replica.log_time(now);
-            let attached = SchedulerFrame::Attached { node: self.replica.id(), term: self.replica.term(), log_time_ms, schedulers: self.addresses() };
-            self.effects.push(SchedulerEffect::Gateway(c, attached));
+            let attached =
+                SchedulerFrame::Attached { node: self.replica.id(), term: self.replica.term(), log_time_ms, schedulers: self.addresses() };
+            self.send_gateway(c, attached);
             if self.ledger.state.tables.gateways.get(&name) != Some(&record) {
                 let GatewayRecord { instance, zone, http_address, .. } = record;
                 self.propose(Command::GatewayAttached { name, instance, zone, http_address }, None, Millis::MAX);
@@ -370,7 +379,7 @@
         }
         let Some(s) = self.sessions.get_mut(&c) else {
             let frame = self.not_leader();
-            self.effects.push(SchedulerEffect::Gateway(c, frame));
+            self.send_gateway(c, frame);
             return;
         };
         s.heard_at = now;
@@ -381,9 +390,9 @@
         match f {
             GatewayFrame::Attach { .. } => {}
             GatewayFrame::Pulse { stamp, .. } => {
-                self.effects.push(SchedulerEffect::Gateway(c, SchedulerFrame::PulseEcho { stamp, log_time_ms }));
                 // It may have been given up while it was silent.
                 let record = s.record.clone();
+                self.send_gateway(c, SchedulerFrame::PulseEcho { stamp, log_time_ms });
                 if self.ledger.state.tables.gateways.get(&name) != Some(&record) {
                     let GatewayRecord { instance, zone, http_address, .. } = record;
                     let again = Command::GatewayAttached { name, instance, zone, http_address };
@@ -564,7 +573,7 @@
                 }
                 s.view = u.upto.max(s.view);
                 self.counters.updates += 1;
-                self.effects.push(SchedulerEffect::Gateway(*c, SchedulerFrame::Update(u)));
+                self.effects.push(SchedulerEffect::Gateway(*c, Box::new(SchedulerFrame::Update(u))));
             }
             (s.ordered, s.scanned) = (last, last);
             if due {
@@ -573,6 +582,11 @@
         }
     }
 
+    /// Sends a frame to a gateway.
+    fn send_gateway(&mut self, to: ChannelId, frame: SchedulerFrame) {
+        self.effects.push(SchedulerEffect::Gateway(to, Box::new(frame)));
+    }
+
     /// Sends a frame to another scheduler.
     pub(crate) fn send_peer(&mut self, address: String, f: &PeerFrame) {
         self.effects.push(SchedulerEffect::Peer { address, bytes: f.to_bytes() });
--- a/crates/scheduler-core/src/scheduler_input.rs
+++ b/crates/scheduler-core/src/scheduler_input.rs
@@ -38,7 +38,7 @@
         bytes: Vec<u8>,
     },
     /// Send to a gateway.
-    Gateway(ChannelId, SchedulerFrame),
+    Gateway(ChannelId, Box<SchedulerFrame>),
     /// Its state can't be carried on: the process has to end.
     Halt(Arc<HaltReason>),
     /// Leadership won or lost, for the log lines.
--- a/crates/scheduler-core/src/scheduler_settings.rs
+++ b/crates/scheduler-core/src/scheduler_settings.rs
@@ -56,7 +56,7 @@
     /// say nothing.
     pub fn stated_voters(&self) -> Option<u64> {
         let n = if self.voters > 0 { self.voters } else { self.founders.len() } as u64;
-        (n > 0).then(|| n - u64::from(n % 2 == 0))
+        (n > 0).then(|| n - u64::from(n.is_multiple_of(2)))
     }
 
     /// How often jobs' news goes to a gateway when nothing urgent takes them along.
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -3,6 +3,9 @@
 /// One planned group of starts: (task, worker), and whether all or none.
 pub type PlannedStarts = (Vec<(TaskId, WorkerIndex)>, bool);
 
+/// A group of alike tasks with its steps, the step due first in front.
+type GroupSteps<'a> = (&'a ReadyGroup, Vec<(Millis, JobNumber, u16)>);
+
 /// Works out which waiting tasks start where, from the committed state as it is: nothing is changed here.
 ///
 /// Order: urgency, then the queue that uses least for its share, then the time a job was due. A task that fits nowhere
@@ -44,7 +47,7 @@
 
     /// Plans one round.
     pub fn plan(mut self) -> Vec<PlannedStarts> {
-        let mut levels: BTreeMap<Reverse<u8>, Vec<(&'a ReadyGroup, Vec<(Millis, JobNumber, u16)>)>> = BTreeMap::new();
+        let mut levels: BTreeMap<Reverse<u8>, Vec<GroupSteps<'a>>> = BTreeMap::new();
         for (g, steps) in self.state.ready.groups() {
             let u = self.state.urgency(&g.queue, g.asked);
             levels.entry(Reverse(u)).or_default().push((g, steps.iter().take(self.most).copied().collect()));
@@ -59,9 +62,9 @@
     }
 
     /// Plans all groups of one urgency, the queue that lags most behind its share first.
-    fn plan_level(&mut self, urgency: u8, groups: Vec<(&'a ReadyGroup, Vec<(Millis, JobNumber, u16)>)>) {
+    fn plan_level(&mut self, urgency: u8, groups: Vec<GroupSteps<'a>>) {
         // Each group with its steps still to do, the next one last.
-        let mut left: Vec<(&ReadyGroup, Vec<(Millis, JobNumber, u16)>)> = groups;
+        let mut left = groups;
         for (_, steps) in &mut left {
             steps.reverse();
         }
@@ -221,7 +224,11 @@
             );
             n = n.min(times(cap.sub(mine)));
             if urgency < self.state.tables.rules.urgent_from {
-                let reserve = self.state.effective.zone(zone).map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
+                let reserve = self
+                    .state
+                    .effective
+                    .zone(zone)
+                    .map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
                 let all = used.add(self.zones.get(zone).copied().unwrap_or_default());
                 n = n.min(times(ratio(*room, 1.0 - reserve).sub(all)));
             }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -39,7 +39,12 @@
             let order = n > ordered;
             match e {
                 Event::JobAccepted { spec, .. } => accepted.extend(s.names.get(&spec.name)),
-                Event::DrainOrdered { .. } | Event::RulesChanged { .. } | Event::JobDue { .. } | Event::AttemptChecked { .. } | Event::GangOut { .. } | Event::StepDone { .. } => {}
+                Event::DrainOrdered { .. }
+                | Event::RulesChanged { .. }
+                | Event::JobDue { .. }
+                | Event::AttemptChecked { .. }
+                | Event::GangOut { .. }
+                | Event::StepDone { .. } => {}
                 Event::JobEnding { job, .. } | Event::JobOver { job, .. } => {
                     jobs.insert(*job);
                 }
@@ -129,7 +134,8 @@
         }
         let spec = s.tables.jobs.get(&t.job)?.spec.as_deref()?;
         let st = &spec.steps[t.step as usize];
-        Some(StartOrder { gang_by_ms: s.tables.jobs.get(&t.job)?.steps.get(t.step as usize)?.gang_by,
+        Some(StartOrder {
+            gang_by_ms: s.tables.jobs.get(&t.job)?.steps.get(t.step as usize)?.gang_by,
             attempt: AttemptId { task: t, number: a.number },
             term: a.term,
             worker: s.worker_name(a.worker),
@@ -156,7 +162,8 @@
         if seen == c.version() {
             return None;
         }
-        let mut u = ConfigurationUpdate { version: c.version(), digest: c.digest().to_string(), patches: Vec::new(), base: seen, tree: None };
+        let mut u =
+            ConfigurationUpdate { version: c.version(), digest: c.digest().to_string(), patches: Vec::new(), base: seen, tree: None };
         match c.since(seen).filter(|_| seen > 0) {
             Some(entries) => u.patches = entries.iter().map(|e| patch_of(e)).collect(),
             None => u.tree = Some(Payload(c.tree().to_value())),
--- a/crates/scheduler-core/tests/fuzz_test.rs
+++ b/crates/scheduler-core/tests/fuzz_test.rs
@@ -59,7 +59,10 @@
             let mut f = WorkerFacts { worker: "w".into(), boot_id: format!("b{}", y % 3), ..WorkerFacts::default() };
             let outcome = [Outcome::Succeeded, Outcome::Failed, Outcome::Stopped][*x as usize % 3];
             let c = match what % 9 {
-                0 => Command::Submit { spec: JobSpec { allowed_failures: 2, ..JobSpec::single(&format!("j{x}"), "q", "s", u32::from(y % 5) + 1, 900, 900) }, due_in_ms: u64::from(*x) },
+                0 => Command::Submit {
+                    spec: JobSpec { allowed_failures: 2, ..JobSpec::single(&format!("j{x}"), "q", "s", u32::from(y % 5) + 1, 900, 900) },
+                    due_in_ms: u64::from(*x),
+                },
                 1 => Command::Cancel(CancelJob { name: format!("j{x}") }),
                 2 => Command::Start { starts: vec![(task, u32::from(x % 2)), (task, 0)], gang: y % 2 == 0 },
                 3 => Command::Drain(DrainWorker { name: "w".into(), on: x % 2 == 0, order_id: None }),
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -398,7 +398,8 @@
 #[test]
 fn racing_resent_and_invalid_configurations_are_answered_by_type() {
     let mut b = Bench::new(1);
-    let put = |base, id: &str, text: &str| Command::PutConfiguration { base_version: base, change_id: id.into(), tree: text.as_bytes().to_vec() };
+    let put =
+        |base, id: &str, text: &str| Command::PutConfiguration { base_version: base, change_id: id.into(), tree: text.as_bytes().to_vec() };
     let one = r#"{"settings":{"urgency":1}}"#;
     assert!(matches!(b.one(put(0, "a", one)), Some(Ok(AnswerBody::PutConfiguration(c))) if c.version == 1 && !c.already));
     assert!(matches!(b.one(put(0, "b", r#"{"settings":{"urgency":2}}"#)), Some(Err(CallError::RacedBase { base: 0, current: 1 }))));
--- a/crates/scheduler-core/tests/lone_scheduler_test.rs
+++ b/crates/scheduler-core/tests/lone_scheduler_test.rs
@@ -34,7 +34,7 @@
                 match e {
                     SchedulerEffect::Persist(r) => todo.push(SchedulerInput::Persisted(r.ticket)),
                     SchedulerEffect::Halt(reason) => self.halted = Some(reason.to_string()),
-                    SchedulerEffect::Gateway(_, f) => self.frames.push(f),
+                    SchedulerEffect::Gateway(_, f) => self.frames.push(*f),
                     _ => {}
                 }
             }
@@ -87,7 +87,11 @@
     l.attach();
     let before = l.core.state().tables.next_job;
     let spec = JobSpec::single("j", "q", "s", 1, 1, 1);
-    let ask = |request, time_budget_ms, spec| GatewayFrame::Ask { request, time_budget_ms, body: CallBody::SubmitJob(cluster_messages::SubmitJob { spec }) };
+    let ask = |request, time_budget_ms, spec| GatewayFrame::Ask {
+        request,
+        time_budget_ms,
+        body: CallBody::SubmitJob(cluster_messages::SubmitJob { spec }),
+    };
     l.frames.clear();
     // The first takes the slot of this moment; the second waits for the next one, and its caller doesn't.
     l.step(SchedulerInput::Gateway(1, ask(1, 5_000, JobSpec { name: "first".into(), ..spec.clone() })));
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -12,8 +12,8 @@
 pub use futures::StreamExt;
 pub use metrics::{counter, gauge};
 pub use process_plumbing::prelude::{
-    Channel, ChannelInbox, Clock, DaemonSettings, IncomingChannel, LogFormat, MetricsPage, MonotonicClock, PlumbingError,
-    daemon_runtime, dial, init_logs, listen, settings_or_exit, shutdown_signal,
+    Channel, ChannelInbox, Clock, DaemonSettings, IncomingChannel, LogFormat, MetricsPage, MonotonicClock, PlumbingError, daemon_runtime,
+    dial, init_logs, listen, settings_or_exit, shutdown_signal,
 };
 pub use replicated_log::prelude::{LogStorage, PersistRequest, RestoredState, SledLogStorage, StorageError};
 pub use scheduler_core::prelude::{ChannelId, HaltReason, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings, StateError};
--- a/crates/worker-stand-in/src/worker_host.rs
+++ b/crates/worker-stand-in/src/worker_host.rs
@@ -23,7 +23,14 @@
 
 impl WorkerHost {
     /// A worker that listens at `from`.
-    pub fn new(identity: &WorkerIdentity, seed: u64, from: SocketAddr, clock: TrueClock, recorder: Arc<Recorder>, gateways: Arc<[String]>) -> Self {
+    pub fn new(
+        identity: &WorkerIdentity,
+        seed: u64,
+        from: SocketAddr,
+        clock: TrueClock,
+        recorder: Arc<Recorder>,
+        gateways: Arc<[String]>,
+    ) -> Self {
         let identity = WorkerIdentity { address: from, ..identity.clone() };
         let registration = identity.registration(&format!("{}-{}-0", identity.name, clock.now()));
         let model = WorkerModel::new(registration, identity.behaviour, seed);
--- a/crates/worker-stand-in/tests/http.rs
+++ b/crates/worker-stand-in/tests/http.rs
@@ -61,7 +61,8 @@
     let worker: SocketAddr = registered["w1"].address.parse().unwrap();
     let c = Caller { client: hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new()).build_http() };
 
-    let start = StartOrder { gang_by_ms: None,
+    let start = StartOrder {
+        gang_by_ms: None,
         attempt: "1.0.0.1".parse().unwrap(),
         term: 1,
         worker: "w1".into(),
@@ -77,7 +78,10 @@
     let a: StartAnswer = c.call("POST", worker, "/start", serde_json::to_value(&start).unwrap()).await;
     assert_eq!((a.result, &a.boot_id), (StartResult::Started, &registered["w1"].boot_id));
     // The hold is kept until the run ends.
-    let mut h = HoldAnswer { change: 0, ..c.call("POST", worker, "/hold", serde_json::json!({"worker": "w1", "gateway": "g", "seen": 0, "wait_ms": 0})).await };
+    let mut h = HoldAnswer {
+        change: 0,
+        ..c.call("POST", worker, "/hold", serde_json::json!({"worker": "w1", "gateway": "g", "seen": 0, "wait_ms": 0})).await
+    };
     while h.ended.is_empty() {
         h = c.call("POST", worker, "/hold", serde_json::json!({"worker": "w1", "gateway": "g", "seen": h.change, "wait_ms": 60_000})).await;
     }
--- a/crates/worker-stand-in/tests/judged.rs
+++ b/crates/worker-stand-in/tests/judged.rs
@@ -41,7 +41,8 @@
 fn judge(seed: u64, wrong: Wrong) -> Verdict {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut oracle = Oracle::new(OracleBounds::default());
-    let new = |i: usize| WorkerModel::new(WorkerIdentity::example(&format!("w{i}")).registration("b0"), Behaviour::default(), seed + i as u64);
+    let new =
+        |i: usize| WorkerModel::new(WorkerIdentity::example(&format!("w{i}")).registration("b0"), Behaviour::default(), seed + i as u64);
     let mut workers: Vec<WorkerModel> = (0..WORKERS).map(new).collect();
     let spec = JobSpec { allowed_failures: 2, ..JobSpec::single("j", "holds", "booking", TASKS, 1_000, 1_000) };
     oracle.observe(0, Observation::JobSent { spec });
@@ -77,7 +78,8 @@
                 let w = rng.random_range(0..WORKERS);
                 t.number += 1;
                 t.out = Some((w, None));
-                let order = StartOrder { gang_by_ms: None,
+                let order = StartOrder {
+                    gang_by_ms: None,
                     attempt: AttemptId { number: t.number, ..attempt },
                     term: 1,
                     worker: format!("w{w}"),
--- a/crates/worker-stand-in/tests/model.rs
+++ b/crates/worker-stand-in/tests/model.rs
@@ -11,7 +11,8 @@
 }
 
 fn start(token: Token, a: &str, run_ms: Millis) -> WorkerInput {
-    let order = StartOrder { gang_by_ms: None,
+    let order = StartOrder {
+        gang_by_ms: None,
         attempt: attempt(a),
         term: 1,
         worker: W.into(),
@@ -57,7 +58,9 @@
         WorkerEffect::Observe(Observation::RunStarted { attempt, ordered_at, .. }) => Some(format!("start {attempt} {ordered_at}")),
         WorkerEffect::Observe(Observation::RunEnded { attempt, outcome, .. }) => Some(format!("end {attempt} {outcome:?}")),
         WorkerEffect::Observe(Observation::RunLost { attempt, boot, .. }) => Some(format!("lost {attempt} {boot}")),
-        WorkerEffect::Observe(Observation::ResultLost { attempt, job_name, outcome, .. }) => Some(format!("forgot {attempt} {job_name} {outcome:?}")),
+        WorkerEffect::Observe(Observation::ResultLost { attempt, job_name, outcome, .. }) => {
+            Some(format!("forgot {attempt} {job_name} {outcome:?}"))
+        }
         WorkerEffect::Observe(Observation::DrainSent { on, .. }) => Some(format!("drain {on}")),
         WorkerEffect::Observe(Observation::WorkerUnreachable { on, .. }) => Some(format!("out {on}")),
         _ => None,
@@ -213,7 +216,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let moves: Vec<(u8, u8)> = (0..rng.random_range(0..80)).map(|_| rng.random()).collect();
         let run = || {
-            let b = Behaviour { late_start_ms: (0, 300), lost_answer_ratio: 0.3, fail_ratio: 0.3, stall_ratio: 0.1, ..Behaviour::default() };
+            let b =
+                Behaviour { late_start_ms: (0, 300), lost_answer_ratio: 0.3, fail_ratio: 0.3, stall_ratio: 0.1, ..Behaviour::default() };
             let mut m = WorkerModel::new(WorkerIdentity::example(W).registration("b"), b, seed);
             let (mut now, mut log, mut orders) = (0, Vec::new(), 0);
             for (t, (kind, n)) in moves.iter().enumerate() {
