--- a/crates/cluster-messages/src/attempt_id.rs
+++ b/crates/cluster-messages/src/attempt_id.rs
@@ -1,6 +1,6 @@
 use crate::prelude::*;
 
-/// One try at one task: written `job.step.index.number`. It is intended for one worker only.
+/// One try at one task: the task's id and the try's number, written `job.step.index.number`. It is intended for one worker only.
 ///
 /// ```
 /// use cluster_messages::AttemptId;
@@ -20,6 +20,14 @@
     pub number: u16,
 }
 
+impl AttemptId {
+    /// All attempts of a job, as a range of a sorted table.
+    pub fn of_job(job: JobNumber) -> RangeInclusive<AttemptId> {
+        let tasks = TaskId::of_job(job);
+        AttemptId { task: *tasks.start(), number: 0 }..=AttemptId { task: *tasks.end(), number: u16::MAX }
+    }
+}
+
 impl fmt::Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.task, self.number)
@@ -31,11 +39,11 @@
 
     fn from_str(s: &str) -> Result<Self, IdError> {
         let p: Vec<&str> = s.split('.').collect();
-        if p.len() != 4 {
-            return Err(IdError::Parts { text: s.to_owned(), found: p.len(), wanted: 4 });
+        if !matches!(p.len(), 4 | 5) {
+            return Err(IdError::Parts { text: s.to_owned(), found: p.len(), wanted: TASK_PARTS + 1 });
         }
-        let task = TaskId { job: part(s, &p, 0)?, step: part(s, &p, 1)?, index: part(s, &p, 2)? };
-        Ok(AttemptId { task, number: part(s, &p, 3)? })
+        let last = p.len() - 1;
+        Ok(AttemptId { task: task_of(s, &p[..last])?, number: part(s, &p, last)? })
     }
 }
 
--- a/crates/cluster-messages/src/configuration_calls.rs
+++ b/crates/cluster-messages/src/configuration_calls.rs
@@ -16,6 +16,10 @@
     /// The tree.
     #[n(2)]
     pub tree: Payload,
+    /// The text that the operator made the tree from, as it came with the change.
+    #[n(3)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub source: Option<String>,
 }
 
 /// Puts a whole tree in force. `PUT /v1/config`.
@@ -31,6 +35,10 @@
     /// The whole tree.
     #[n(2)]
     pub tree: Payload,
+    /// A text of the operator's that is kept beside this version and given back with it, unread.
+    #[n(3)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub source: Option<String>,
 }
 
 /// The answer: it is on the synced disks of a quorum, and in force.
--- a/crates/cluster-messages/src/job_spec.rs
+++ b/crates/cluster-messages/src/job_spec.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// A job as its caller names and states it. Unknown fields are shed with a typed error.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Encode, Decode)]
 #[serde(deny_unknown_fields)]
 pub struct JobSpec {
     /// The caller's own name for it: a resend of the same name and content is the same job.
@@ -10,8 +10,9 @@
     /// The operators' queue that it goes through.
     #[n(1)]
     pub queue: Name,
-    /// The service whose workers may run it, such as `booking`.
+    /// The service whose workers may run it, such as `booking`; empty for the one service of its queue.
     #[n(2)]
+    #[serde(default)]
     pub service: Name,
     /// Free labels; the lifetime predictor reads them as features.
     #[n(3)]
@@ -29,10 +30,10 @@
     #[n(6)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub start_after_ms: Option<u64>,
-    /// How many times each of its tasks may fail and be tried again.
+    /// How many times each of its tasks may fail and be tried again; absent: as often as its queue allows.
     #[n(7)]
-    #[serde(default)]
-    pub allowed_failures: u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_failures: Option<u32>,
     /// True for work that has no end of its own.
     #[n(8)]
     #[serde(default)]
@@ -40,10 +41,22 @@
     /// The steps, at least one.
     #[n(9)]
     pub steps: Vec<StepSpec>,
+    /// Its number, chosen by its caller; absent: the next one of the cluster.
+    #[n(10)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<JobNumber>,
+    /// When its steps run again; absent: once.
+    #[n(11)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub repeat: Option<Repeat>,
+    /// What the worker is to run, for steps that state nothing themselves.
+    #[n(12)]
+    #[serde(default, skip_serializing_if = "Payload::is_null")]
+    pub payload: Payload,
 }
 
 /// One step: alike tasks, started when all the steps named in `after` are done.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Encode, Decode)]
 #[serde(deny_unknown_fields)]
 pub struct StepSpec {
     /// Its name, unique in the job.
@@ -70,10 +83,54 @@
     #[n(6)]
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub kinds: Vec<Name>,
-    /// What the worker is to run.
+    /// What the worker is to run; absent: the job's.
     #[n(7)]
     #[serde(default)]
     pub payload: Payload,
+    /// GPUs for each task.
+    #[n(8)]
+    #[serde(default)]
+    pub gpus: u64,
+    /// Labels that its workers must all bear.
+    #[n(9)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub labels: Vec<Name>,
+    /// The rack that holds its data: others are taken only when this one has no room.
+    #[n(10)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub near_rack: Option<Name>,
+    /// Most of its tasks on one worker at once; 0: as many as fit.
+    #[n(11)]
+    #[serde(default)]
+    pub most_per_worker: u32,
+    /// True: its tasks report checkpoints, and a new attempt goes on from the last one.
+    #[n(12)]
+    #[serde(default)]
+    pub checkpoints: bool,
+    /// True for a gang that runs faster within one rack.
+    #[n(13)]
+    #[serde(default)]
+    pub same_rack: bool,
+    /// The caller's guess of how long one task runs; 0: none.
+    #[n(14)]
+    #[serde(default)]
+    pub estimate_ms: Millis,
+}
+
+/// A job whose steps run several times. Occurrences may overlap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[serde(deny_unknown_fields)]
+#[cbor(array)]
+pub struct Repeat {
+    /// When occurrence 0 falls due, in Unix milliseconds.
+    #[n(0)]
+    pub first_unix_ms: u64,
+    /// From one occurrence to the next.
+    #[n(1)]
+    pub interval_ms: Millis,
+    /// How many occurrences, at least 1.
+    #[n(2)]
+    pub count: u16,
 }
 
 impl JobSpec {
@@ -89,13 +146,17 @@
     pub fn faults(&self) -> Vec<Fault> {
         let mut v = Vec::new();
         for (path, s) in [("name", &self.name), ("queue", &self.queue), ("service", &self.service)] {
-            if s.is_empty() || s.len() > MAX_NAME || s.contains(char::is_whitespace) || s.contains('/') {
+            let left_out = path == "service" && s.is_empty();
+            if s.is_empty() && !left_out || s.len() > MAX_NAME || s.contains(char::is_whitespace) || s.contains('/') {
                 v.push(Fault::new(path, "wants 1 to 120 characters without blanks and slashes"));
             }
         }
         if self.urgency.is_some_and(|u| u > 9) {
             v.push(Fault::new("urgency", "wants 0 to 9"));
         }
+        if self.repeat.is_some_and(|r| r.count == 0 || r.count > MAX_OCCURRENCES || (r.count > 1 && r.interval_ms == 0)) {
+            v.push(Fault::new("repeat", "wants 1 to 1,000 occurrences at an interval above 0"));
+        }
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             v.push(Fault::new("steps", "wants 1 to 1,000 steps"));
         }
@@ -111,10 +172,10 @@
             if s.gang && s.tasks > MAX_GANG {
                 say("gang", "wants at most 1,024 members");
             }
-            if s.cpu_millis == 0 && s.memory_mb == 0 {
+            if s.cpu_millis == 0 && s.memory_mb == 0 && s.gpus == 0 {
                 say("cpu_millis", "wants CPU or memory above 0");
             }
-            if s.cpu_millis > MAX_SIZE || s.memory_mb > MAX_SIZE {
+            if s.cpu_millis > MAX_SIZE || s.memory_mb > MAX_SIZE || s.gpus > MAX_SIZE || s.estimate_ms > MAX_SIZE {
                 say("cpu_millis", "wants sizes below 10^12");
             }
             for (k, a) in s.after.iter().enumerate() {
@@ -152,40 +213,49 @@
         done < self.steps.len()
     }
 
-    /// How many tasks it has in all.
+    /// How many tasks it has in all occurrences.
     pub fn task_count(&self) -> u64 {
-        self.steps.iter().map(|s| u64::from(s.tasks)).sum()
+        let once: u64 = self.steps.iter().map(|s| u64::from(s.tasks)).sum();
+        once * u64::from(self.occurrences())
+    }
+
+    /// How many times its steps run.
+    pub fn occurrences(&self) -> u16 {
+        self.repeat.map_or(1, |r| r.count)
+    }
+
+    /// What the worker is to run for a step.
+    pub fn payload_of(&self, step: u16) -> &Payload {
+        match self.steps.get(usize::from(step)).map(|s| &s.payload) {
+            Some(own) if !own.is_null() => own,
+            _ => &self.payload,
+        }
     }
 
     /// A job of one step, for examples and tools.
     pub fn single(name: &str, queue: &str, service: &str, tasks: u32, cpu_millis: u64, memory_mb: u64) -> Self {
         let step = StepSpec {
             name: "main".into(),
-            after: Vec::new(),
             tasks,
-            gang: false,
             cpu_millis,
             memory_mb,
-            kinds: Vec::new(),
-            payload: Payload::default(),
+            ..StepSpec::default()
         };
         JobSpec {
             name: name.into(),
             queue: queue.into(),
             service: service.into(),
-            labels: BTreeMap::new(),
-            urgency: None,
-            not_before_unix_ms: None,
-            start_after_ms: None,
-            allowed_failures: 0,
-            run_until_cancelled: false,
+            allowed_failures: Some(0),
             steps: vec![step],
+            ..JobSpec::default()
         }
     }
 }
 
 /// Longest name, in bytes.
 const MAX_NAME: usize = 120;
+/// Most occurrences of a job.
+const MAX_OCCURRENCES: u16 = 1_000;
 /// Most steps in a job.
 const MAX_STEPS: usize = 1_000;
 /// Most tasks in a step.
--- a/crates/cluster-messages/src/payload.rs
+++ b/crates/cluster-messages/src/payload.rs
@@ -5,6 +5,13 @@
 #[serde(transparent)]
 pub struct Payload(pub serde_json::Value);
 
+impl Payload {
+    /// Whether nothing is stated.
+    pub fn is_null(&self) -> bool {
+        self.0.is_null()
+    }
+}
+
 impl<C> Encode<C> for Payload {
     fn encode<W: minicbor::encode::Write>(&self, e: &mut Encoder<W>, _: &mut C) -> Result<(), minicbor::encode::Error<W::Error>> {
         e.str(&self.0.to_string())?.ok()
--- a/crates/cluster-messages/src/prelude.rs
+++ b/crates/cluster-messages/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use std::collections::{BTreeMap, BTreeSet};
 pub use std::fmt;
+pub use std::ops::RangeInclusive;
 pub use std::str::FromStr;
 
 pub use minicbor::{CborLen, Decode, Decoder, Encode, Encoder};
@@ -14,21 +15,21 @@
 pub use crate::configuration_calls::*;
 pub use crate::gateway_frame::GatewayFrame;
 pub use crate::job_calls::*;
-pub use crate::job_spec::{JobSpec, StepSpec};
+pub use crate::job_spec::{JobSpec, Repeat, StepSpec};
 pub use crate::member_calls::*;
 pub use crate::payload::Payload;
 pub use crate::scheduler_frame::SchedulerFrame;
-pub(crate) use crate::task_id::part;
-pub use crate::task_id::{IdError, TaskId};
+pub(crate) use crate::task_id::{TASK_PARTS, part, task_of};
+pub use crate::task_id::{IdError, StepId, TaskId};
 pub use crate::view_update::*;
 pub use crate::wire::{WIRE_VERSION, WireError, WireMessage};
 pub use crate::worker_calls::*;
-pub use crate::worker_facts::WorkerFacts;
+pub use crate::worker_facts::{AttemptCheckpoint, WorkerFacts};
 pub use crate::worker_orders::*;
 
 /// Milliseconds, of whichever clock the field's comment names.
 pub type Millis = u64;
-/// A job's number: given once, in the order of acceptance.
+/// A job's number: its caller's own, or given once in the order of acceptance.
 pub type JobNumber = u64;
 /// A name of a node, worker, job, zone, region or queue.
 pub type Name = String;
--- a/crates/cluster-messages/src/view_update.rs
+++ b/crates/cluster-messages/src/view_update.rs
@@ -47,9 +47,9 @@
     /// Jobs told before that have changed.
     #[n(13)]
     pub job_changes: Vec<JobChange>,
-    /// Gangs of which this gateway holds members, and which run whole or are no longer waited for: (job, step).
+    /// Gangs of which this gateway holds members, and which run whole or are no longer waited for.
     #[n(14)]
-    pub gangs_settled: Vec<(JobNumber, u16)>,
+    pub gangs_settled: Vec<StepId>,
 }
 
 /// What can change of a job, for whoever has its summary.
--- a/crates/cluster-messages/src/worker_calls.rs
+++ b/crates/cluster-messages/src/worker_calls.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// A worker makes itself known, at its start and whenever it isn't sure. `POST /v1/workers`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 #[serde(deny_unknown_fields)]
 pub struct RegisterWorker {
     /// Its name, unique in the fleet and kept over restarts.
@@ -31,6 +31,18 @@
     /// Its room: memory in MB.
     #[n(8)]
     pub memory_mb: u64,
+    /// Its room: GPUs.
+    #[n(9)]
+    #[serde(default)]
+    pub gpus: u64,
+    /// Labels that steps may ask for.
+    #[n(10)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub labels: Vec<Name>,
+    /// True: it runs work only while its lease lasts, and each life of it has a name of its own.
+    #[n(11)]
+    #[serde(default)]
+    pub leased: bool,
 }
 
 /// The answer: it is known to a quorum.
@@ -58,6 +70,14 @@
     #[n(2)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub order_id: Option<String>,
+    /// With a drain: how much longer the worker serves at least, where it says so.
+    #[n(3)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaves_in_ms: Option<Millis>,
+    /// With a drain: the worker is about to end, and is forgotten once nothing of it runs.
+    #[n(4)]
+    #[serde(default)]
+    pub leaves: bool,
 }
 
 /// The answer: no start is intended for it from now on.
@@ -182,6 +202,10 @@
     /// Its lifetime band.
     #[n(16)]
     pub band: BandSummary,
+    /// Whether it runs work only while its lease lasts.
+    #[n(17)]
+    #[serde(default)]
+    pub leased: bool,
 }
 
 /// Evacuates a zone, or ends that. `POST /v1/zones/{zone}/evacuate`.
--- a/crates/cluster-messages/src/worker_facts.rs
+++ b/crates/cluster-messages/src/worker_facts.rs
@@ -32,6 +32,33 @@
     /// say that it followed.
     #[n(8)]
     pub follows: Option<String>,
+    /// Run nowhere any more, and never will: the lease of the worker has lapsed.
+    #[n(9)]
+    pub lost: Vec<AttemptId>,
+    /// Stand still: they run, but get no further.
+    #[n(10)]
+    pub stalled: Vec<AttemptId>,
+    /// Checkpoints of attempts that are lost or stopped, as last seen.
+    #[n(11)]
+    pub checkpoints: Vec<AttemptCheckpoint>,
+    /// The lease of the worker has lapsed: nothing runs on it, whoever started it.
+    #[n(12)]
+    pub lapsed: bool,
+    /// This life of the worker is over for good.
+    #[n(13)]
+    pub gone: bool,
+}
+
+/// The last checkpoint of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[cbor(array)]
+pub struct AttemptCheckpoint {
+    /// The attempt.
+    #[n(0)]
+    pub attempt: AttemptId,
+    /// What its worker made of it.
+    #[n(1)]
+    pub checkpoint: String,
 }
 
 impl WorkerFacts {
@@ -43,5 +70,9 @@
             && self.missing.is_empty()
             && self.draining.is_none()
             && self.reachable.is_none()
+            && self.lost.is_empty()
+            && self.stalled.is_empty()
+            && !self.lapsed
+            && !self.gone
     }
 }
--- a/crates/cluster-messages/src/worker_orders.rs
+++ b/crates/cluster-messages/src/worker_orders.rs
@@ -41,6 +41,19 @@
     #[n(11)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gang_by_ms: Option<Millis>,
+    /// Where the attempt goes on from; absent: from the start.
+    #[n(12)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
+    /// For a worker that takes leases: until when it may be started and may run, on the worker's own clock. Set by the
+    /// gateway as the order leaves.
+    #[n(13)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_until_ms: Option<Millis>,
+    /// The caller's guess of how long it runs; 0: none.
+    #[n(14)]
+    #[serde(default)]
+    pub estimate_ms: Millis,
 }
 
 /// What a worker says to a start.
@@ -68,6 +81,10 @@
     /// The boot that took the order.
     #[n(2)]
     pub boot_id: String,
+    /// The worker's clock, where it tells it.
+    #[n(3)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clock_ms: Option<Millis>,
 }
 
 /// `POST http://{worker}/stop`: end an attempt, or never start it. May be repeated.
@@ -79,6 +96,10 @@
     /// The worker it is for.
     #[n(1)]
     pub worker: Name,
+    /// The newest term that its sender knows.
+    #[n(2)]
+    #[serde(default)]
+    pub term: u64,
 }
 
 /// What a worker says to a stop.
@@ -95,6 +116,9 @@
     /// It had ended by itself; the hold answer lists how.
     #[n(2)]
     Ended,
+    /// It won't start from now on, and ends soon if it runs: the next hold answer tells.
+    #[n(3)]
+    Accepted,
 }
 
 /// The answer to a stop.
@@ -113,6 +137,10 @@
     #[n(3)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended: Option<EndedAttempt>,
+    /// The worker's clock, where it tells it.
+    #[n(4)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clock_ms: Option<Millis>,
 }
 
 /// How an attempt ended.
@@ -129,10 +157,19 @@
     /// A stop ended it.
     #[n(2)]
     Stopped,
+    /// The worker's lease ended it.
+    #[n(3)]
+    Lapsed,
+    /// Another member of its gang ended.
+    #[n(4)]
+    Broken,
+    /// The other members of its gang did not come in time.
+    #[n(5)]
+    Alone,
 }
 
 /// An attempt that ran and ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 #[cbor(array)]
 pub struct EndedAttempt {
     /// The attempt.
@@ -141,13 +178,44 @@
     /// How it ended.
     #[n(1)]
     pub outcome: Outcome,
-    /// How long it ran, by the worker's own clock.
+    /// How long it ran, by the worker's own clock; 0 where it doesn't tell.
     #[n(2)]
     pub ran_ms: Millis,
+    /// The worker's count of ends, from 1; 0 where it keeps none.
+    #[n(3)]
+    #[serde(default)]
+    pub sequence: u64,
+    /// Its last checkpoint, if it made one.
+    #[n(4)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
 }
 
-/// `POST http://{worker}/hold`: the worker answers when its lists have changed since `seen`, or after `wait_ms`.
+impl EndedAttempt {
+    /// An end of which no more is known.
+    pub fn new(attempt: AttemptId, outcome: Outcome) -> Self {
+        EndedAttempt { attempt, outcome, ran_ms: 0, sequence: 0, checkpoint: None }
+    }
+}
+
+/// How far a running attempt is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[cbor(array)]
+pub struct AttemptProgress {
+    /// The attempt.
+    #[n(0)]
+    pub attempt: AttemptId,
+    /// Hundredths of its work that are done.
+    #[n(1)]
+    pub percent: u8,
+    /// Its last checkpoint, if it made one.
+    #[n(2)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
+}
+
+/// `POST http://{worker}/hold`: the worker answers when its lists have changed since `seen`, or after `wait_ms`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct HoldOrder {
     /// The worker it is for.
     #[n(0)]
@@ -165,10 +233,22 @@
     #[n(4)]
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub acknowledged: Vec<AttemptId>,
+    /// For a worker that counts its ends: all up to this one are in the log.
+    #[n(5)]
+    #[serde(default)]
+    pub observed: u64,
+    /// For a worker that takes leases: until when all on it may run, on the worker's own clock.
+    #[n(6)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_until_ms: Option<Millis>,
+    /// The newest term that its sender knows.
+    #[n(7)]
+    #[serde(default)]
+    pub term: u64,
 }
 
 /// The answer to a hold.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct HoldAnswer {
     /// The worker.
     #[n(0)]
@@ -195,4 +275,12 @@
     #[n(6)]
     #[serde(default)]
     pub ended: Vec<EndedAttempt>,
+    /// How far the running ones are, where the worker tells.
+    #[n(7)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<AttemptProgress>,
+    /// The worker's clock, where it tells it.
+    #[n(8)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clock_ms: Option<Millis>,
 }
--- a/crates/fleet-oracle/src/oracle_runs.rs
+++ b/crates/fleet-oracle/src/oracle_runs.rs
@@ -47,7 +47,7 @@
         }
         let failed = t.failed;
         if let Some(spec) = j.sure_spec() {
-            if failed > spec.allowed_failures {
+            if failed > spec.allowed_failures.unwrap_or(0) {
                 let allowed = spec.allowed_failures;
                 self.tally.add(Rule::RetriedPastAllowed, at, || format!("{}: failed {failed} times, {allowed} allowed", about()));
             }
@@ -138,7 +138,7 @@
         if newly_done {
             j.task_done(step, at);
         }
-        if j.sure_spec().is_some_and(|s| failed_ever > s.allowed_failures) {
+        if j.sure_spec().is_some_and(|s| failed_ever > s.allowed_failures.unwrap_or(0)) {
             j.failed = true;
             j.may_be_final(at);
         }
--- a/crates/gateway-core/src/fact_line.rs
+++ b/crates/gateway-core/src/fact_line.rs
@@ -15,13 +15,24 @@
     pub draining: Option<bool>,
     /// Reachable, when it changed.
     pub reachable: Option<bool>,
+    /// Lost with the worker's lease.
+    pub lost: BTreeSet<AttemptId>,
+    /// Standing still.
+    pub stalled: BTreeSet<AttemptId>,
+    /// Last checkpoints of what is lost.
+    pub checkpoints: BTreeMap<AttemptId, String>,
+    /// The worker's lease has lapsed.
+    pub lapsed: bool,
+    /// This life of the worker is over.
+    pub gone: bool,
 }
 
 impl FactLine {
     /// How many facts.
     pub fn len(&self) -> usize {
-        let flags = usize::from(self.draining.is_some()) + usize::from(self.reachable.is_some());
-        self.started.len() + self.ended.len() + self.voided.len() + self.missing.len() + flags
+        let flags = [self.draining.is_some(), self.reachable.is_some(), self.lapsed, self.gone];
+        let flags = flags.into_iter().filter(|f| *f).count();
+        self.lost.len() + self.stalled.len() + self.started.len() + self.ended.len() + self.voided.len() + self.missing.len() + flags
     }
 
     /// Whether there is none.
@@ -37,6 +48,11 @@
         self.missing.extend(other.missing);
         self.draining = other.draining.or(self.draining);
         self.reachable = other.reachable.or(self.reachable);
+        self.lost.extend(other.lost);
+        self.stalled.extend(other.stalled);
+        self.checkpoints.extend(other.checkpoints);
+        self.lapsed |= other.lapsed;
+        self.gone |= other.gone;
     }
 
     /// As it travels.
@@ -51,6 +67,11 @@
             draining: self.draining,
             reachable: self.reachable,
             follows: None,
+            lost: self.lost.into_iter().collect(),
+            stalled: self.stalled.into_iter().collect(),
+            checkpoints: self.checkpoints.into_iter().map(|(attempt, checkpoint)| AttemptCheckpoint { attempt, checkpoint }).collect(),
+            lapsed: self.lapsed,
+            gone: self.gone,
         }
     }
 }
--- a/crates/gateway-core/src/gang_watch.rs
+++ b/crates/gateway-core/src/gang_watch.rs
@@ -10,30 +10,30 @@
 /// assert!(w.over(49).is_empty());
 /// assert_eq!(w.over(50).len(), 1);
 /// w.note(a, "w1", 50);
-/// w.settled(7, 0);
+/// w.settled(a.task.step_id());
 /// assert!(w.over(90).is_empty());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct GangWatch {
-    gangs: BTreeMap<(JobNumber, u16), (Millis, BTreeMap<AttemptId, Name>)>,
+    gangs: BTreeMap<StepId, (Millis, BTreeMap<AttemptId, Name>)>,
 }
 
 impl GangWatch {
     /// A member's start is at hand; until `due` of the local clock its gang has time.
     pub fn note(&mut self, a: AttemptId, worker: &str, due: Millis) {
-        let g = self.gangs.entry((a.task.job, a.task.step)).or_default();
+        let g = self.gangs.entry(a.task.step_id()).or_default();
         g.0 = due;
         g.1.insert(a, worker.to_owned());
     }
 
     /// The gang runs whole, or is no longer waited for.
-    pub fn settled(&mut self, job: JobNumber, step: u16) {
-        self.gangs.remove(&(job, step));
+    pub fn settled(&mut self, step: StepId) {
+        self.gangs.remove(&step);
     }
 
     /// A member is gone.
     pub fn gone(&mut self, a: AttemptId) {
-        let key = (a.task.job, a.task.step);
+        let key = a.task.step_id();
         if let Some(g) = self.gangs.get_mut(&key) {
             g.1.remove(&a);
             if g.1.is_empty() {
@@ -44,8 +44,8 @@
 
     /// The members whose time is over: they are to be stopped.
     pub fn over(&mut self, now: Millis) -> Vec<StopOrder> {
-        let due: Vec<(JobNumber, u16)> = self.gangs.iter().filter(|(_, g)| g.0 <= now).map(|(k, _)| *k).collect();
+        let due: Vec<StepId> = self.gangs.iter().filter(|(_, g)| g.0 <= now).map(|(k, _)| *k).collect();
         let gangs = due.into_iter().filter_map(|k| self.gangs.remove(&k));
-        gangs.flat_map(|g| g.1).map(|(attempt, worker)| StopOrder { attempt, worker }).collect()
+        gangs.flat_map(|g| g.1).map(|(attempt, worker)| StopOrder { attempt, worker, term: 0 }).collect()
     }
 }
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -127,6 +127,7 @@
                 }
             }
             GatewayInput::Ask { ask, time_budget_ms, body } => self.ask((ask, time_budget_ms, body), fx),
+            GatewayInput::Seeds(seeds) => self.session.seed(seeds),
             GatewayInput::StartAnswered { attempt, reply } => self.start_answered(attempt, reply),
             GatewayInput::StopAnswered { attempt, worker, reply } => self.stop_answered(attempt, &worker, reply),
             GatewayInput::HoldAnswered { worker, address, reply } => self.hold_answered(&worker, &address, reply, fx),
@@ -186,8 +187,68 @@
         }
         self.session.dial(self.now, fx);
         self.pulse(fx);
-        if self.facts.len() < self.settings.fact_bound() {
-            self.counters.holds_sent += self.share.holds(self.now, self.steps, &self.settings, &self.name, fx);
+        self.watch_leases();
+        self.send_holds(None, fx);
+    }
+
+    /// Sends the holds that are due, of one worker or of all.
+    fn send_holds(&mut self, worker: Option<&str>, fx: &mut Vec<GatewayEffect>) {
+        if self.facts.len() >= self.settings.fact_bound() {
+            return;
+        }
+        let may_lease = self.session.silence(self.now).is_some_and(|s| s < self.settings.grant_silence());
+        let permit = HoldPermit {
+            now: self.now,
+            step: self.steps,
+            settings: &self.settings,
+            gateway: &self.name,
+            term: self.session.term(),
+            may_lease,
+        };
+        self.counters.holds_sent += match worker {
+            Some(w) => self.share.hold(w, &permit, fx),
+            None => self.share.holds(&permit, fx),
+        };
+    }
+
+    /// Tells of workers that are silent and whose lease is over: what ran there is lost.
+    fn watch_leases(&mut self) {
+        if self.settings.lease_most_ms == 0 {
+            return;
+        }
+        let silent: Vec<Name> = self.share.all_mine().filter(|(_, h)| h.leased).map(|(n, _)| n.clone()).collect();
+        for worker in silent {
+            if self.share.mine_mut(&worker).is_some_and(|h| h.take_lapse(self.now)) {
+                self.counters.leases_lapsed += 1;
+                self.lose_attempts(&worker, false);
+            }
+        }
+    }
+
+    /// Tells that nothing of a worker's attempts runs any more: its lease has lapsed, or its life is over.
+    fn lose_attempts(&mut self, worker: &str, gone: bool) {
+        let Some(h) = self.share.get_mut(worker) else { return };
+        let boot = h.boot().to_owned();
+        let (mut lost, checkpoints) = h.take_proven();
+        lost.extend(self.starts.sent_to(worker));
+        lost.extend(self.stops.open_at(worker));
+        for a in &lost {
+            self.starts.proof(*a, OrderEvent::Void);
+            self.stops.answered(*a);
+            self.gangs.gone(*a);
+        }
+        let line = self.facts.line(worker, &boot);
+        line.lost.extend(lost);
+        line.checkpoints.extend(checkpoints.into_iter().map(|c| (c.attempt, c.checkpoint)));
+        line.lapsed |= !gone;
+        line.gone |= gone;
+    }
+
+    /// Another life of a worker answered in its place.
+    fn other_life(&mut self, worker: &str) {
+        if self.share.mine(worker).is_some_and(|h| h.leased) {
+            self.counters.lives_over += 1;
+            self.lose_attempts(worker, true);
         }
     }
 
@@ -204,10 +265,10 @@
     /// Stops, then starts: what is to be stopped doesn't leave any more.
     fn send_orders(&mut self, fx: &mut Vec<GatewayEffect>) {
         let share = &self.share;
-        self.counters.stops_sent += self.stops.send(self.now, self.steps, |w| share.mine(w).map(|h| h.address.clone()), fx);
+        self.counters.stops_sent += self.stops.send(self.now, self.steps, self.session.term(), |w| share.mine(w).map(|h| h.address.clone()), fx);
         let before = fx.len();
-        let gate = OrderGate { now: self.now, bound: self.session.bound(), share };
-        let dropped = self.starts.send(self.settings.starts_out(), &gate, fx);
+        let mut gate = OrderGate { now: self.now, bound: self.session.bound(), share: &mut self.share, settings: &self.settings };
+        let dropped = self.starts.send(self.settings.starts_out(), &mut gate, fx);
         self.counters.starts_sent += (fx.len() - before) as u64;
         self.counters.starts_dropped += dropped.len() as u64;
         for (worker, a) in dropped {
@@ -287,7 +348,7 @@
     fn frame(&mut self, channel: ChannelId, frame: SchedulerFrame, fx: &mut Vec<GatewayEffect>) {
         let attached = self.session.attached().is_some();
         match frame {
-            SchedulerFrame::Attached { log_time_ms, schedulers, .. } => self.attached(channel, log_time_ms, &schedulers, fx),
+            SchedulerFrame::Attached { term, log_time_ms, schedulers, .. } => self.attached(channel, term, log_time_ms, &schedulers, fx),
             SchedulerFrame::NotLeader { leader, schedulers } => {
                 self.session.learn(&schedulers);
                 self.session.not_leader(self.now, &self.settings, leader, &mut self.rng, fx);
@@ -318,8 +379,8 @@
     }
 
     /// The elected scheduler took the attach: all that waits for it leaves.
-    fn attached(&mut self, channel: ChannelId, log_time_ms: Millis, schedulers: &[String], fx: &mut Vec<GatewayEffect>) {
-        if !self.session.attach_taken(self.now, log_time_ms) {
+    fn attached(&mut self, channel: ChannelId, term: u64, log_time_ms: Millis, schedulers: &[String], fx: &mut Vec<GatewayEffect>) {
+        if !self.session.attach_taken(self.now, term, log_time_ms) {
             return;
         }
         self.counters.attaches += 1;
@@ -335,7 +396,7 @@
 
     /// Folds an update.
     fn update(&mut self, channel: ChannelId, mut u: ViewUpdate, fx: &mut Vec<GatewayEffect>) {
-        self.share.fold(self.now, self.steps, &self.name, &u);
+        self.share.fold(self.now, self.steps, &self.settings, &self.name, &u);
         let whole = WholeView::gather(&mut self.whole, &u);
         if let Some(w) = &whole {
             self.share.keep(&w.workers);
@@ -360,9 +421,7 @@
         self.caught_up |= u.upto > 0;
         self.fold_orders(&mut u);
         self.change_view().fold(&mut u);
-        if self.facts.len() < self.settings.fact_bound() {
-            self.counters.holds_sent += self.share.holds(self.now, self.steps, &self.settings, &self.name, fx);
-        }
+        self.send_holds(None, fx);
     }
 
     /// Takes a stop over: what has not left never leaves, what has is stopped at its worker.
@@ -382,8 +441,8 @@
         for o in std::mem::take(&mut u.stops) {
             self.stop(o);
         }
-        for (job, step) in std::mem::take(&mut u.gangs_settled) {
-            self.gangs.settled(job, step);
+        for step in std::mem::take(&mut u.gangs_settled) {
+            self.gangs.settled(step);
         }
         for o in std::mem::take(&mut u.starts) {
             let (worker, a) = (o.worker.clone(), o.attempt);
@@ -403,6 +462,7 @@
             Ok(new) => {
                 self.want_configuration = false;
                 let v = self.change_view();
+                v.ingress = Arc::new(IngressTable::of(&new.tree));
                 v.configuration = new;
                 v.configuration_sure = true;
             }
@@ -421,7 +481,7 @@
         for f in self.facts.done(report) {
             let ended = f.ended.iter().map(|e| e.attempt);
             f.ended.iter().for_each(|e| self.gangs.gone(e.attempt));
-            for a in f.started.into_iter().chain(f.voided).chain(f.missing).chain(ended) {
+            for a in f.started.into_iter().chain(f.voided).chain(f.missing).chain(f.lost).chain(ended) {
                 self.starts.settle(a, most);
             }
             if let Some(h) = self.share.get_mut(&f.worker) {
@@ -447,6 +507,7 @@
             Reply::Answer(r) if r.attempt == a && r.result == StartResult::Started => (Some(OrderEvent::Proof), Some(r.boot_id.as_str())),
             Reply::Answer(r) if r.attempt == a => (Some(OrderEvent::Void), Some(r.boot_id.as_str())),
             Reply::NotSent => (Some(OrderEvent::NotSent), None),
+            Reply::OtherLife => (Some(OrderEvent::Void), None),
             Reply::Answer(_) | Reply::Unknown => {
                 self.counters.starts_unknown += 1;
                 (None, None)
@@ -454,6 +515,12 @@
         };
         if let Some(worker) = self.starts.worker(a) {
             self.order_over(&worker, !matches!(reply, Reply::Unknown));
+            if let Reply::Answer(r) = &reply {
+                self.clock_shown(&worker, r.clock_ms);
+            }
+            if matches!(reply, Reply::OtherLife) {
+                self.other_life(&worker);
+            }
         }
         let Some(worker) = self.starts.answered(a, event) else { return };
         let Some(known) = self.share.boot(&worker) else { return };
@@ -481,13 +548,24 @@
         }
         let known = self.share.boot(worker);
         self.order_over(worker, !matches!(reply, Reply::Unknown));
+        if matches!(reply, Reply::OtherLife) {
+            return self.other_life(worker);
+        }
+        if let Reply::Answer(r) = &reply {
+            self.clock_shown(worker, r.clock_ms);
+        }
         let Some(r) = reply.answer().filter(|r| r.attempt == a && known.as_ref() == Some(&r.boot_id)) else {
             self.stops.again(self.now, &self.settings, a, &mut self.rng);
             return;
         };
+        if r.result == StopResult::Accepted {
+            self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
+            self.stops.accepted(self.now, self.steps, &self.settings, a, &mut self.rng);
+            return;
+        }
         self.stops.answered(a);
         // Whatever the worker said, this attempt doesn't leave from here any more.
-        self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned() });
+        self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
         let line = self.facts.line(worker, &r.boot_id);
         let event = match r.result {
             StopResult::Void => {
@@ -495,10 +573,12 @@
                 OrderEvent::Void
             }
             StopResult::Stopped => {
-                let e = r.ended.unwrap_or(EndedAttempt { attempt: a, outcome: Outcome::Stopped, ran_ms: 0 });
+                let e = r.ended.unwrap_or_else(|| EndedAttempt::new(a, Outcome::Stopped));
                 line.ended.insert(a, e);
                 OrderEvent::Proof
             }
+            // Handled above: only a list tells what came of it.
+            StopResult::Accepted => return,
             StopResult::Ended => {
                 line.ended.extend(r.ended.map(|e| (a, e)));
                 OrderEvent::Proof
@@ -512,6 +592,9 @@
 
     /// What came of a hold.
     fn hold_answered(&mut self, worker: &str, address: &str, reply: Reply<HoldAnswer>, fx: &mut Vec<GatewayEffect>) {
+        if matches!(reply, Reply::OtherLife) {
+            return self.other_life(worker);
+        }
         let Some(h) = self.share.get_mut(worker) else { return };
         let answer = reply.answer().filter(|a| a.worker == worker && h.address == address);
         let Some(a) = answer else {
@@ -523,8 +606,14 @@
             return;
         };
         let mut line = FactLine::default();
+        let (left_in, leased) = (h.hold_step(), h.leased);
+        if let Some(clock) = a.clock_ms {
+            h.lease.showed(self.now, clock);
+        }
         if !h.answer(self.steps, &a, &mut line) {
             self.counters.holds_crossed += 1;
+        } else if leased {
+            self.leased_lists(worker, &a, left_in.unwrap_or(0), &mut line);
         }
         self.counters.attempts_missing += line.missing.len() as u64;
         let ended: Vec<AttemptId> = line.ended.keys().copied().collect();
@@ -534,8 +623,32 @@
         if !line.is_empty() {
             self.facts.line(worker, &a.boot_id).merge(line);
         }
-        if self.facts.len() < self.settings.fact_bound() {
-            self.counters.holds_sent += self.share.hold(worker, self.now, self.steps, &self.settings, &self.name, fx);
+        self.send_holds(Some(worker), fx);
+    }
+
+    /// A worker's clock came along with an answer.
+    fn clock_shown(&mut self, worker: &str, clock_ms: Option<Millis>) {
+        if let (Some(clock), Some(h)) = (clock_ms, self.share.get_mut(worker)) {
+            h.lease.showed(self.now, clock);
+        }
+    }
+
+    /// What the lists of a worker with a lease prove beyond what they show: starts that can't be carried out any more, stops
+    /// that are over, attempts that stand still.
+    fn leased_lists(&mut self, worker: &str, a: &HoldAnswer, left_in: u64, line: &mut FactLine) {
+        let running: BTreeSet<AttemptId> = a.running.iter().copied().collect();
+        let ended: BTreeSet<AttemptId> = a.ended.iter().map(|e| e.attempt).collect();
+        let listed = |x: AttemptId| running.contains(&x) || ended.contains(&x);
+        let void = self.starts.void_by_clock(worker, a.clock_ms.unwrap_or(0), listed);
+        self.counters.starts_late += void.len() as u64;
+        line.voided.extend(void);
+        let stopped = self.stops.settle_by_list(worker, left_in, |x| running.contains(&x));
+        line.voided.extend(stopped.into_iter().filter(|x| !listed(*x)));
+        let (starts, usual) = (&self.starts, self.settings.stall_patience(Millis::MAX));
+        if let Some(h) = self.share.get_mut(worker) {
+            let stalled = h.progress(self.now, &a.progress, |x| starts.patience(x).unwrap_or(usual));
+            self.counters.attempts_stalled += stalled.len() as u64;
+            line.stalled.extend(stalled);
         }
     }
 }
--- a/crates/gateway-core/src/gateway_counters.rs
+++ b/crates/gateway-core/src/gateway_counters.rs
@@ -55,6 +55,14 @@
     holds_crossed;
     /// Attempts found missing.
     attempts_missing;
+    /// Leases of silent workers that lapsed.
+    leases_lapsed;
+    /// Lives of workers that were found over.
+    lives_over;
+    /// Starts that provably came too late to be carried out.
+    starts_late;
+    /// Attempts found standing still.
+    attempts_stalled;
     /// Reports of facts sent, repeats included.
     reports_sent;
     /// Configuration patches that did not fit.
--- a/crates/gateway-core/src/gateway_input.rs
+++ b/crates/gateway-core/src/gateway_input.rs
@@ -15,6 +15,8 @@
     Frame { channel: ChannelId, frame: SchedulerFrame },
     /// A call of a caller or operator, to be answered by one `Answer`.
     Ask { ask: u64, time_budget_ms: Millis, body: CallBody },
+    /// The settings name other schedulers to ask first.
+    Seeds(Vec<String>),
     /// What came of a `Start`.
     StartAnswered { attempt: AttemptId, reply: Reply<StartAnswer> },
     /// What came of a `Stop`.
--- a/crates/gateway-core/src/gateway_settings.rs
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -11,6 +11,10 @@
     pub gateway_silence_ms: Millis,
     /// How often a worker's hold is at least renewed, in fifths.
     pub hold_interval_ms: Millis,
+    /// The longest lease that workers take; 0 where they take none.
+    pub lease_most_ms: Millis,
+    /// How long members of a gang wait for each other at their workers.
+    pub gang_wait_ms: Millis,
     /// Most asks that wait for an answer.
     pub inbox: usize,
 }
@@ -21,9 +25,7 @@
             cluster: "firlock".into(),
             election_timeout_ms: 1_000,
             gateway_silence_ms: 3_000,
-            hold_interval_ms: 1_000,
-            inbox: 4_096,
-        }
+            hold_interval_ms: 1_000, lease_most_ms: 0, gang_wait_ms: 8_000, inbox: 4_096 }
     }
 }
 
@@ -113,6 +115,42 @@
         self.hold_interval_ms * 2
     }
 
+    /// The lease that a hold gives to all that runs on a worker.
+    pub fn lease(&self) -> Millis {
+        part(self.lease_most_ms * 2, 5)
+    }
+
+    /// The lease that a start carries: once it is over, the start can't be carried out any more.
+    pub fn start_lease(&self) -> Millis {
+        (self.hold_interval_ms * 2).min(self.lease())
+    }
+
+    /// Without a word of an elected scheduler for this long, no more leases are given.
+    pub fn grant_silence(&self) -> Millis {
+        part(self.lease_most_ms * 4, 5)
+    }
+
+    /// How long after a worker changed hands leases of its former gateway may last, by clocks that run unlike.
+    pub fn others_lease(&self) -> Millis {
+        let longest = self.grant_silence() + self.lease();
+        longest + part(longest, 20)
+    }
+
+    /// How long a worker with a lease may keep a hold: while something runs there, and else.
+    pub fn leased_wait(&self, busy: bool) -> Millis {
+        if busy { self.hold_interval_ms } else { self.hold_interval_ms * 2 }
+    }
+
+    /// How long after its wait a hold of a worker with a lease is given up.
+    pub fn leased_slack(&self) -> Millis {
+        part(self.hold_interval_ms * 4, 5)
+    }
+
+    /// How long a task of such an estimate may stand still: half of it, within bounds.
+    pub fn stall_patience(&self, estimate_ms: Millis) -> Millis {
+        (estimate_ms / 2).clamp(self.hold_interval_ms * 6 / 5, self.hold_interval_ms * 6)
+    }
+
     /// Starts out at once.
     pub fn starts_out(&self) -> usize {
         (self.inbox / 8).max(1)
--- a/crates/gateway-core/src/gateway_view.rs
+++ b/crates/gateway-core/src/gateway_view.rs
@@ -22,6 +22,8 @@
     pub workers: Arc<BTreeMap<Name, Arc<WorkerSummary>>>,
     /// The configuration.
     pub configuration: ConfigurationView,
+    /// Which queue jobs go through, by host and path.
+    pub ingress: Arc<IngressTable>,
     /// False while a configuration is asked for whole.
     pub configuration_sure: bool,
     /// Zones evacuated now.
@@ -81,14 +83,23 @@
                 AnswerBody::GetConfiguration(Configuration {
                     version: c.version,
                     digest: c.digest.clone(),
-                    tree: Payload((*c.tree).clone()),
-                })
+                    tree: Payload((*c.tree).clone()), source: None })
             }
             _ => return None,
         };
         Some((a, age))
     }
 
+    /// Whether it is new enough to answer from.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.age(now).is_some_and(|a| a < self.age_most)
+    }
+
+    /// How many jobs of a queue wait for their first task to start.
+    pub fn waiting(&self, queue: &str) -> u64 {
+        self.jobs.from(0).filter(|j| j.state == JobState::Waiting && j.queue == queue).count() as u64
+    }
+
     /// A page of jobs.
     pub fn list_jobs(&self, c: &ListJobs) -> JobList {
         let limit = c.limit.unwrap_or(USUAL_PAGE).clamp(1, MOST_PAGE) as usize;
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod ask_book;
 mod ask_rank;
+mod attempt_watch;
 mod backoff;
 mod boot_standing;
 mod configuration_view;
+mod end_sequence;
 mod fact_book;
 mod fact_line;
 mod gang_watch;
@@ -18,6 +20,7 @@
 mod gateway_input;
 mod gateway_settings;
 mod gateway_view;
+mod ingress_table;
 mod job_table;
 mod order_gate;
 mod order_state;
@@ -32,6 +35,7 @@
 mod time_bound;
 mod whole_view;
 mod worker_hold;
+mod worker_lease;
 mod worker_share;
 
 pub use prelude::*;
--- a/crates/gateway-core/src/order_gate.rs
+++ b/crates/gateway-core/src/order_gate.rs
@@ -1,19 +1,50 @@
 use crate::prelude::*;
 
 /// Lets a start pass while cluster time is surely within its budget and its worker is in the share.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct OrderGate<'a> {
     /// Local time.
     pub now: Millis,
     /// Bound of cluster time.
     pub bound: Option<TimeBound>,
     /// The share.
-    pub share: &'a WorkerShare,
+    pub share: &'a mut WorkerShare,
+    /// Bounds.
+    pub settings: &'a GatewaySettings,
+}
+
+impl OrderGate<'_> {
+    /// The last local time to leave, if that isn't past.
+    fn leave_by(&self, order: &StartOrder) -> Option<Millis> {
+        self.bound?.leave_by(order.intended_at_ms, order.time_budget_ms).filter(|t| *t >= self.now)
+    }
+
+    /// How long an attempt may stand still: members of a gang wait for each other first.
+    fn patience(&self, order: &StartOrder) -> Millis {
+        let waits = if order.gang_by_ms.is_some() { self.settings.gang_wait_ms } else { 0 };
+        waits + self.settings.stall_patience(order.estimate_ms)
+    }
 }
 
 impl StartGate for OrderGate<'_> {
-    fn pass(&self, order: &StartOrder) -> Option<(String, Millis)> {
-        let leave_by = self.bound?.leave_by(order.intended_at_ms, order.time_budget_ms).filter(|t| *t >= self.now)?;
-        Some((self.share.mine(&order.worker)?.address.clone(), leave_by))
+    fn look(&mut self, order: &StartOrder) -> Passage {
+        match self.leave_by(order) {
+            Some(_) if self.share.mine(&order.worker).is_some() => Passage::Later,
+            _ => Passage::Never,
+        }
+    }
+
+    fn pass(&mut self, order: &StartOrder) -> Passage {
+        let (Some(leave_by), patience) = (self.leave_by(order), self.patience(order)) else { return Passage::Never };
+        let Some(worker) = self.share.mine_mut(&order.worker) else { return Passage::Never };
+        let address = worker.address.clone();
+        if !worker.leased {
+            return Passage::Now { address, leave_by, lease_until: None, patience };
+        }
+        // Without a reading of its clock no lease can be stated: the first hold brings one.
+        match worker.lease.grant(self.now, self.settings.start_lease()) {
+            Some(until) => Passage::Now { address, leave_by, lease_until: Some(until), patience },
+            None => Passage::Later,
+        }
     }
 }
--- a/crates/gateway-core/src/prelude.rs
+++ b/crates/gateway-core/src/prelude.rs
@@ -17,9 +17,11 @@
 
 pub use crate::ask_book::AskBook;
 pub use crate::ask_rank::AskRank;
+pub use crate::attempt_watch::AttemptWatch;
 pub use crate::backoff::backoff;
 pub use crate::boot_standing::BootStanding;
 pub use crate::configuration_view::{ConfigurationView, PatchError, tree_digest};
+pub use crate::end_sequence::EndSequence;
 pub use crate::fact_book::FactBook;
 pub use crate::fact_line::FactLine;
 pub use crate::gang_watch::GangWatch;
@@ -29,6 +31,7 @@
 pub use crate::gateway_input::GatewayInput;
 pub use crate::gateway_settings::GatewaySettings;
 pub use crate::gateway_view::GatewayView;
+pub use crate::ingress_table::{IngressRule, IngressTable};
 pub use crate::job_table::JobTable;
 pub use crate::order_gate::OrderGate;
 pub use crate::order_state::{OrderEvent, OrderState};
@@ -37,12 +40,13 @@
 pub use crate::retry_budget::RetryBudget;
 pub use crate::session::Session;
 pub use crate::session_state::{SessionEvent, SessionState};
-pub use crate::start_book::{StartBook, StartGate};
+pub use crate::start_book::{Passage, StartBook, StartGate};
 pub use crate::start_record::StartRecord;
 pub use crate::stop_book::StopBook;
 pub use crate::time_bound::TimeBound;
 pub use crate::whole_view::WholeView;
-pub use crate::worker_hold::{BootNews, WorkerHold};
+pub use crate::worker_hold::{BootNews, HoldPermit, WorkerHold};
+pub use crate::worker_lease::WorkerLease;
 pub use crate::worker_share::WorkerShare;
 
 /// A channel's number, given by the executor and never used again.
--- a/crates/gateway-core/src/reply.rs
+++ b/crates/gateway-core/src/reply.rs
@@ -7,6 +7,8 @@
     NotSent,
     /// It may or may not have arrived.
     Unknown,
+    /// Another life of the worker answered: the one meant is over for good.
+    OtherLife,
 }
 
 impl<T> Reply<T> {
@@ -14,7 +16,7 @@
     pub fn answer(self) -> Option<T> {
         match self {
             Reply::Answer(a) => Some(a),
-            Reply::NotSent | Reply::Unknown => None,
+            Reply::NotSent | Reply::Unknown | Reply::OtherLife => None,
         }
     }
 }
--- a/crates/gateway-core/src/session.rs
+++ b/crates/gateway-core/src/session.rs
@@ -28,6 +28,7 @@
     stamps: BTreeMap<u64, Millis>,
     first_stamp: u64,
     bound: Option<TimeBound>,
+    term: u64,
 }
 
 impl Session {
@@ -52,6 +53,7 @@
             stamps: BTreeMap::new(),
             first_stamp: 0,
             bound: None,
+            term: 0,
         }
     }
 
@@ -80,6 +82,16 @@
         self.bound
     }
 
+    /// The newest term of an elected scheduler that took an attach.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// How long ago an elected scheduler surely held its lease.
+    pub fn silence(&self, now: Millis) -> Option<Millis> {
+        self.bound.map(|b| now.saturating_sub(b.asked_at))
+    }
+
     /// Takes one step of the chart; false when it leads nowhere.
     fn go(&mut self, event: SessionEvent, now: Millis) -> bool {
         let Some(s) = self.state.next(event) else { return false };
@@ -88,6 +100,11 @@
         true
     }
 
+    /// Takes over other seeds.
+    pub fn seed(&mut self, seeds: Vec<String>) {
+        self.seeds = seeds;
+    }
+
     /// Learns the schedulers' addresses.
     pub fn learn(&mut self, addresses: &[String]) {
         if !addresses.is_empty() {
@@ -171,12 +188,13 @@
     }
 
     /// The scheduler took the attach, which was sent when this state began.
-    pub fn attach_taken(&mut self, now: Millis, log_time_ms: Millis) -> bool {
+    pub fn attach_taken(&mut self, now: Millis, term: u64, log_time_ms: Millis) -> bool {
         let asked_at = self.since;
         if !self.go(SessionEvent::Attached, now) {
             return false;
         }
         self.bound = Some(TimeBound { log_time_ms, asked_at });
+        self.term = self.term.max(term);
         (self.tries, self.hops, self.hint) = (0, 0, None);
         self.first_stamp = self.stamp + 1;
         self.pulse_at = now;
--- a/crates/gateway-core/src/start_book.rs
+++ b/crates/gateway-core/src/start_book.rs
@@ -1,9 +1,32 @@
 use crate::prelude::*;
 
+/// Whether a held start may leave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Passage {
+    /// Now.
+    Now {
+        /// The worker's address.
+        address: String,
+        /// The last local time to leave.
+        leave_by: Millis,
+        /// The lease that it carries, on the worker's clock.
+        lease_until: Option<Millis>,
+        /// How long it may stand still once it runs.
+        patience: Millis,
+    },
+    /// Not yet.
+    Later,
+    /// Never.
+    Never,
+}
+
 /// What a held start has to pass before it leaves.
 pub trait StartGate {
-    /// The worker's address and the last local time to leave, or `None` when the start may never leave.
-    fn pass(&self, order: &StartOrder) -> Option<(String, Millis)>;
+    /// Whether it may leave now; what it needs is then given out.
+    fn pass(&mut self, order: &StartOrder) -> Passage;
+
+    /// Whether it may leave at all; it doesn't yet.
+    fn look(&mut self, order: &StartOrder) -> Passage;
 }
 
 /// Start orders given to this instance: each leaves once at the most, ever.
@@ -16,12 +39,7 @@
     settled_order: VecDeque<AttemptId>,
 }
 
-/// All attempts of a job.
-fn of_job(job: JobNumber) -> std::ops::RangeInclusive<AttemptId> {
-    let first = AttemptId { task: TaskId { job, step: 0, index: 0 }, number: 0 };
-    let last = AttemptId { task: TaskId { job, step: u16::MAX, index: u32::MAX }, number: u16::MAX };
-    first..=last
-}
+
 
 impl StartBook {
     /// How far an attempt is, if it is known and not settled.
@@ -68,37 +86,59 @@
             }
             None => {
                 // Another instance or gateway may have sent it: nothing is proven, but here it is never sent.
-                self.records.insert(a, StartRecord { state: OrderState::Dropped, worker: stop.worker.clone(), order: None, given: false });
+                self.records.insert(a, StartRecord { state: OrderState::Dropped, worker: stop.worker.clone(), order: None, given: false, lease_until: None, patience: Millis::MAX });
                 false
             }
         }
     }
 
     /// Sends held starts as far as bounds allow, and drops those that may not leave any more: (worker, attempt).
-    pub fn send(&mut self, most_out: usize, gate: &impl StartGate, fx: &mut Vec<GatewayEffect>) -> Vec<(Name, AttemptId)> {
+    pub fn send(&mut self, most_out: usize, gate: &mut impl StartGate, fx: &mut Vec<GatewayEffect>) -> Vec<(Name, AttemptId)> {
         let mut dropped = Vec::new();
         let waiting = std::mem::take(&mut self.held);
         for a in waiting {
             let Some(r) = self.records.get_mut(&a).filter(|r| r.state == OrderState::Held) else { continue };
-            let passed = r.order.as_deref().and_then(|o| gate.pass(o));
-            let Some((address, leave_by)) = passed else {
-                r.go(OrderEvent::Drop);
-                r.order = None;
-                dropped.push((r.worker.clone(), a));
-                continue;
-            };
-            if self.out.len() >= most_out {
-                self.held.push_back(a);
-            } else if r.go(OrderEvent::Send)
-                && let Some(order) = r.order.take()
-            {
-                self.out.insert(a);
-                fx.push(GatewayEffect::Start { address, order: *order, leave_by });
+            let full = self.out.len() >= most_out;
+            let passage = r.order.as_deref().map_or(Passage::Never, |o| if full { gate.look(o) } else { gate.pass(o) });
+            match passage {
+                Passage::Never => {
+                    r.go(OrderEvent::Drop);
+                    r.order = None;
+                    dropped.push((r.worker.clone(), a));
+                }
+                Passage::Later => self.held.push_back(a),
+                Passage::Now { address, leave_by, lease_until, patience } => {
+                    if r.go(OrderEvent::Send)
+                        && let Some(order) = r.order.take()
+                    {
+                        self.out.insert(a);
+                        (r.lease_until, r.patience) = (lease_until, patience);
+                        let order = StartOrder { lease_until_ms: lease_until, ..*order };
+                        fx.push(GatewayEffect::Start { address, order, leave_by });
+                    }
+                }
             }
         }
         dropped
     }
 
+    /// How long an attempt may stand still, where its start left from here.
+    pub fn patience(&self, a: AttemptId) -> Option<Millis> {
+        self.records.get(&a).filter(|r| r.lease_until.is_some()).map(|r| r.patience)
+    }
+
+    /// Starts at a worker whose fate is open.
+    pub fn sent_to<'b>(&'b self, worker: &'b str) -> impl Iterator<Item = AttemptId> + 'b {
+        self.records.iter().filter(move |(_, r)| r.state == OrderState::Sent && r.worker == worker).map(|(a, _)| *a)
+    }
+
+    /// The worker's clock is past what starts carried as their lease, and it lists them not: they never ran and never will.
+    pub fn void_by_clock(&mut self, worker: &str, clock_ms: Millis, listed: impl Fn(AttemptId) -> bool) -> Vec<AttemptId> {
+        let over = |r: &StartRecord| r.lease_until.is_some_and(|until| until < clock_ms);
+        let open: Vec<AttemptId> = self.sent_to(worker).filter(|a| !listed(*a) && over(&self.records[a])).collect();
+        open.into_iter().filter(|a| self.proof(*a, OrderEvent::Void).is_some()).collect()
+    }
+
     /// The worker of a start that is known.
     pub fn worker(&self, a: AttemptId) -> Option<Name> {
         self.records.get(&a).map(|r| r.worker.clone())
@@ -136,7 +176,7 @@
 
     /// A job is final: all that is known of it is settled.
     pub fn settle_job(&mut self, job: JobNumber, most: usize) {
-        let all: Vec<AttemptId> = self.records.range(of_job(job)).map(|(a, _)| *a).collect();
+        let all: Vec<AttemptId> = self.records.range(AttemptId::of_job(job)).map(|(a, _)| *a).collect();
         for a in all {
             if let Some(r) = self.records.get_mut(&a) {
                 r.go(OrderEvent::Drop);
--- a/crates/gateway-core/src/start_record.rs
+++ b/crates/gateway-core/src/start_record.rs
@@ -11,12 +11,16 @@
     pub order: Option<Box<StartOrder>>,
     /// Whether the log named this instance for it: only then does "never sent here" prove that it never ran.
     pub given: bool,
+    /// With a lease: the time on the worker's clock after which it can't be carried out any more.
+    pub lease_until: Option<Millis>,
+    /// How long it may stand still.
+    pub patience: Millis,
 }
 
 impl StartRecord {
     /// A new one.
     pub fn new(order: StartOrder) -> Self {
-        StartRecord { state: OrderState::initial(), worker: order.worker.clone(), order: Some(Box::new(order)), given: true }
+        StartRecord { state: OrderState::initial(), worker: order.worker.clone(), order: Some(Box::new(order)), given: true, lease_until: None, patience: Millis::MAX }
     }
 
     /// Takes one step of the chart; false when it leads nowhere.
--- a/crates/gateway-core/src/stop_book.rs
+++ b/crates/gateway-core/src/stop_book.rs
@@ -8,6 +8,8 @@
     sent_step: u64,
     next_at: Millis,
     tries: u32,
+    /// The step in which the worker said that it won't start any more.
+    accepted: Option<u64>,
 }
 
 /// Stops, repeated until the worker answers.
@@ -34,7 +36,7 @@
 
     /// Takes an order over.
     pub fn give(&mut self, now: Millis, order: StopOrder) {
-        let new = OpenStop { worker: order.worker, out: false, sent_step: 0, next_at: now, tries: 0 };
+        let new = OpenStop { worker: order.worker, out: false, sent_step: 0, next_at: now, tries: 0, accepted: None };
         self.open.entry(order.attempt).or_insert(new);
     }
 
@@ -44,14 +46,14 @@
     }
 
     /// Sends what is due; `address` knows the workers of this gateway's share.
-    pub fn send(&mut self, now: Millis, step: u64, address: impl Fn(&str) -> Option<String>, fx: &mut Vec<GatewayEffect>) -> u64 {
+    pub fn send(&mut self, now: Millis, step: u64, term: u64, address: impl Fn(&str) -> Option<String>, fx: &mut Vec<GatewayEffect>) -> u64 {
         let mut n = 0;
         for (a, s) in self.open.iter_mut().filter(|(_, s)| !s.out && s.next_at <= now) {
             if let Some(address) = address(&s.worker) {
                 s.out = true;
                 s.sent_step = step;
                 n += 1;
-                fx.push(GatewayEffect::Stop { address, order: StopOrder { attempt: *a, worker: s.worker.clone() } });
+                fx.push(GatewayEffect::Stop { address, order: StopOrder { attempt: *a, worker: s.worker.clone(), term } });
             }
         }
         n
@@ -71,6 +73,30 @@
         }
     }
 
+    /// The worker accepted it; what came of it, the next list tells. Until then it is sent again now and then.
+    pub fn accepted(&mut self, now: Millis, step: u64, s: &GatewaySettings, a: AttemptId, rng: &mut impl Rng) {
+        if let Some(o) = self.open.get_mut(&a) {
+            o.accepted.get_or_insert(step);
+        }
+        self.again(now, s, a, rng);
+    }
+
+    /// Open stops at a worker.
+    pub fn open_at<'b>(&'b self, worker: &'b str) -> impl Iterator<Item = AttemptId> + 'b {
+        self.open.iter().filter(move |(_, s)| s.worker == worker).map(|(a, _)| *a)
+    }
+
+    /// A list for a hold that left in `step`: stops of what it doesn't show are over if they were accepted before. Those are
+    /// given back; they never ran, or their ends are known.
+    pub fn settle_by_list(&mut self, worker: &str, step: u64, running: impl Fn(AttemptId) -> bool) -> Vec<AttemptId> {
+        let over = |a: &AttemptId, s: &OpenStop| s.worker == worker && s.accepted.is_some_and(|at| at < step) && !running(*a);
+        let done: Vec<AttemptId> = self.open.iter().filter(|(a, s)| over(a, s)).map(|(a, _)| *a).collect();
+        for a in &done {
+            self.open.remove(a);
+        }
+        done
+    }
+
     /// It is answered.
     pub fn answered(&mut self, a: AttemptId) {
         self.open.remove(&a);
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -49,6 +49,30 @@
     draining: Option<bool>,
     log_draining: bool,
     reachable: bool,
+    /// Whether it runs work only while its lease lasts.
+    pub leased: bool,
+    /// Its clock and lease.
+    pub lease: WorkerLease,
+    ends: EndSequence,
+    watch: AttemptWatch,
+    lapse_told: bool,
+}
+
+/// What a hold that leaves now may say.
+#[derive(Clone, Debug)]
+pub struct HoldPermit<'p> {
+    /// Local time.
+    pub now: Millis,
+    /// The step of the core.
+    pub step: u64,
+    /// Bounds.
+    pub settings: &'p GatewaySettings,
+    /// The gateway's name.
+    pub gateway: &'p str,
+    /// The newest term known.
+    pub term: u64,
+    /// Whether a lease may be given.
+    pub may_lease: bool,
 }
 
 impl WorkerHold {
@@ -75,6 +99,11 @@
             draining: None,
             log_draining: w.draining,
             reachable: w.reachable,
+            leased: w.leased,
+            lease: WorkerLease::default(),
+            ends: EndSequence::default(),
+            watch: AttemptWatch::default(),
+            lapse_told: false,
         }
     }
 
@@ -84,7 +113,7 @@
     }
 
     /// Takes over the log's summary, and whether it is in the share.
-    pub fn update(&mut self, now: Millis, step: u64, w: &WorkerSummary, mine: bool) {
+    pub fn update(&mut self, now: Millis, step: u64, s: &GatewaySettings, w: &WorkerSummary, mine: bool) {
         if self.address != w.address {
             self.address = w.address.clone();
             self.errors = 0;
@@ -99,6 +128,8 @@
             self.errors = 0;
             self.silent_orders = 0;
             self.reachable = w.reachable;
+            self.lease.taken_over(now, s.others_lease());
+            self.lapse_told = false;
         }
         if !mine && self.mine {
             self.forget();
@@ -112,6 +143,8 @@
         self.listed.clear();
         self.proven.clear();
         self.ended.clear();
+        self.ends = EndSequence::default();
+        self.watch.clear();
         self.draining = None;
     }
 
@@ -178,26 +211,68 @@
 
     /// An ended attempt is in the log: the next hold acknowledges it.
     pub fn acknowledge(&mut self, a: AttemptId) {
+        self.ends.logged(a);
         if let Some(done) = self.ended.get_mut(&a) {
             *done = true;
         }
     }
 
     /// The next hold, when it is due.
-    pub fn hold(&mut self, now: Millis, step: u64, s: &GatewaySettings, worker: &str, gateway: &str) -> Option<GatewayEffect> {
+    pub fn hold(&mut self, worker: &str, p: &HoldPermit<'_>) -> Option<GatewayEffect> {
+        let (now, s) = (p.now, p.settings);
         if !self.mine || self.open.is_some() || now < self.next_at {
             return None;
         }
+        let (wait_ms, give_up_after_ms) = self.hold_times(s);
+        let lease = if self.leased && p.may_lease { self.lease.grant(now, s.lease()) } else { None };
         let order = HoldOrder {
             worker: worker.to_owned(),
-            gateway: gateway.to_owned(),
+            gateway: p.gateway.to_owned(),
             seen: if std::mem::take(&mut self.whole) { 0 } else { self.seen },
-            wait_ms: s.hold_wait(),
+            wait_ms,
             acknowledged: self.ended.iter().filter(|(_, done)| **done).map(|(a, _)| *a).collect(),
+            observed: self.ends.observed(),
+            lease_until_ms: lease,
+            term: p.term,
         };
-        self.open = Some(OpenHold { order: order.clone(), step });
+        self.open = Some(OpenHold { order: order.clone(), step: p.step });
         self.next_at = now + s.hold_gap();
-        Some(GatewayEffect::Hold { address: self.address.clone(), order, give_up_after_ms: s.hold_budget() })
+        Some(GatewayEffect::Hold { address: self.address.clone(), order, give_up_after_ms })
+    }
+
+    /// How long the worker may keep a hold, and when that is given up.
+    fn hold_times(&self, s: &GatewaySettings) -> (Millis, Millis) {
+        if !self.leased {
+            return (s.hold_wait(), s.hold_budget());
+        }
+        // Its clock is wanted first of all, and after an error whether it is there at all.
+        let at_once = self.lease.at_least(0).is_none() || self.errors > 0;
+        let wait = if at_once { 0 } else { s.leased_wait(!self.proven.is_empty()) };
+        (wait, wait + s.leased_slack())
+    }
+
+    /// The step in which the hold left that is out.
+    pub fn hold_step(&self) -> Option<u64> {
+        self.open.as_ref().map(|o| o.step)
+    }
+
+    /// The worker doesn't answer, and its lease is over: true once for each time that this comes about.
+    pub fn take_lapse(&mut self, now: Millis) -> bool {
+        let over = self.mine && self.leased && self.errors >= ERRORS && !self.lapse_told && self.lease.lapsed(now);
+        self.lapse_told |= over;
+        over
+    }
+
+    /// The attempts that were proven to run here, and their last checkpoints; they are forgotten.
+    pub fn take_proven(&mut self) -> (Vec<AttemptId>, Vec<AttemptCheckpoint>) {
+        let checkpoints = self.watch.checkpoints();
+        self.watch.clear();
+        (std::mem::take(&mut self.proven).into_keys().collect(), checkpoints)
+    }
+
+    /// Looks at how far all is that runs; those that stand still are given back, once each.
+    pub fn progress(&mut self, now: Millis, list: &[AttemptProgress], patience: impl Fn(AttemptId) -> Millis) -> Vec<AttemptId> {
+        self.watch.saw(now, list, patience)
     }
 
     /// No answer came. True when it now counts as out of reach.
@@ -248,6 +323,7 @@
         }
         self.errors = 0;
         self.silent_orders = 0;
+        self.lapse_told = false;
         let mut asked_seen = open.order.seen;
         if a.boot_id != self.boot && open.step < self.boot_step {
             // This hold left before the newest boot was known: an answer of another boot is an older one's.
@@ -303,9 +379,10 @@
         }
         for e in &a.ended {
             self.proven.remove(&e.attempt);
+            self.ends.listed(e.sequence, e.attempt);
             if let Entry::Vacant(v) = self.ended.entry(e.attempt) {
                 v.insert(false);
-                line.ended.insert(e.attempt, *e);
+                line.ended.insert(e.attempt, e.clone());
             }
         }
     }
--- a/crates/gateway-core/src/worker_share.rs
+++ b/crates/gateway-core/src/worker_share.rs
@@ -12,6 +12,16 @@
         self.all.get(worker).filter(|w| w.mine)
     }
 
+    /// A worker of the share, to be changed.
+    pub fn mine_mut(&mut self, worker: &str) -> Option<&mut WorkerHold> {
+        self.all.get_mut(worker).filter(|w| w.mine)
+    }
+
+    /// The workers of the share.
+    pub fn all_mine(&self) -> impl Iterator<Item = (&Name, &WorkerHold)> {
+        self.all.iter().filter(|(_, w)| w.mine)
+    }
+
     /// Any worker.
     pub fn get_mut(&mut self, worker: &str) -> Option<&mut WorkerHold> {
         self.all.get_mut(worker)
@@ -43,14 +53,14 @@
     }
 
     /// Takes over what an update says of workers and of the attempts on them.
-    pub fn fold(&mut self, now: Millis, step: u64, gateway: &str, u: &ViewUpdate) {
+    pub fn fold(&mut self, now: Millis, step: u64, s: &GatewaySettings, gateway: &str, u: &ViewUpdate) {
         for n in &u.workers_removed {
             self.all.remove(n);
         }
         let mut boots = BTreeMap::new();
         for w in &u.workers {
             let mine = w.gateway.as_deref() == Some(gateway);
-            self.all.entry(w.name.clone()).or_insert_with(|| WorkerHold::new(w)).update(now, step, w, mine);
+            self.all.entry(w.name.clone()).or_insert_with(|| WorkerHold::new(w)).update(now, step, s, w, mine);
             boots.insert(w.name.as_str(), w.boot_id.as_str());
         }
         for (w, a) in &u.held {
@@ -66,17 +76,17 @@
     }
 
     /// One worker's hold, if it is due.
-    pub fn hold(&mut self, worker: &str, now: Millis, step: u64, s: &GatewaySettings, gateway: &str, fx: &mut Vec<GatewayEffect>) -> u64 {
-        let next = self.all.get_mut(worker).and_then(|w| w.hold(now, step, s, worker, gateway));
+    pub fn hold(&mut self, worker: &str, p: &HoldPermit<'_>, fx: &mut Vec<GatewayEffect>) -> u64 {
+        let next = self.all.get_mut(worker).and_then(|w| w.hold(worker, p));
         let n = u64::from(next.is_some());
         fx.extend(next);
         n
     }
 
     /// The holds that are due.
-    pub fn holds(&mut self, now: Millis, step: u64, s: &GatewaySettings, gateway: &str, fx: &mut Vec<GatewayEffect>) -> u64 {
+    pub fn holds(&mut self, p: &HoldPermit<'_>, fx: &mut Vec<GatewayEffect>) -> u64 {
         let before = fx.len();
-        fx.extend(self.all.iter_mut().filter_map(|(n, w)| w.hold(now, step, s, n, gateway)));
+        fx.extend(self.all.iter_mut().filter_map(|(n, w)| w.hold(n, p)));
         (fx.len() - before) as u64
     }
 }
--- a/crates/gateway/src/core_loop.rs
+++ b/crates/gateway/src/core_loop.rs
@@ -6,12 +6,12 @@
 const COUNT_EVERY: u64 = 40;
 
 /// The task that owns the core: inputs go in one by one, effects are carried out elsewhere.
-pub struct CoreLoop {
+pub struct CoreLoop<P> {
     core: GatewayCore,
     clock: MonotonicClock,
     view: Arc<ArcSwap<GatewayView>>,
     dialer: ChannelDialer,
-    workers: WorkerCaller,
+    workers: WorkerCaller<P>,
     channels: HashMap<ChannelId, ChannelInbox>,
     replies: HashMap<u64, oneshot::Sender<CallResult<AnswerBody>>>,
     asks: u64,
@@ -19,14 +19,14 @@
     fx: Vec<GatewayEffect>,
 }
 
-impl CoreLoop {
+impl<P: WorkerProtocol> CoreLoop<P> {
     /// A loop around a core.
     pub fn new(
         core: GatewayCore,
         clock: MonotonicClock,
         view: Arc<ArcSwap<GatewayView>>,
         dialer: ChannelDialer,
-        workers: WorkerCaller,
+        workers: WorkerCaller<P>,
     ) -> Self {
         CoreLoop {
             core,
--- a/crates/gateway/src/gateway_ports.rs
+++ b/crates/gateway/src/gateway_ports.rs
@@ -15,4 +15,22 @@
     pub body_room: Arc<Semaphore>,
     /// The counters.
     pub page: MetricsPage,
+    /// Whether the process was told to end.
+    pub stopping: Arc<AtomicBool>,
+    /// For how long without word of an elected scheduler this gateway still calls itself ready.
+    pub ready_silence_ms: Millis,
+}
+
+impl GatewayPorts {
+    /// Whether new callers are welcome: it isn't ending, has a configuration, and heard of an elected scheduler of late.
+    pub fn is_ready(&self) -> bool {
+        let view = self.view.load();
+        let heard = view.age(self.clock.now()).is_some_and(|age| age < self.ready_silence_ms);
+        heard && view.configuration.version > 0 && !self.is_stopping()
+    }
+
+    /// Whether the process was told to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod gateway_error;
 mod gateway_ports;
 mod gateway_process;
+mod gateway_surface;
 mod http_call;
 mod job_http;
 mod loop_event;
@@ -21,5 +22,6 @@
 mod routes;
 mod worker_caller;
 mod worker_http;
+mod worker_protocol;
 
 pub use prelude::*;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -3,8 +3,9 @@
 use gateway::prelude::*;
 
 fn main() {
-    let settings: DaemonSettings = settings_or_exit("gateway");
-    if let Err(e) = GatewayProcess::run(settings) {
+    let source = SettingsSource::of_process("gateway");
+    let settings: DaemonSettings = source.read_or_exit();
+    if let Err(e) = GatewayProcess::run(&source, settings, OwnSurface) {
         tracing::error!("{e}");
         eprintln!("gateway: {e}");
         std::process::exit(1);
--- a/crates/gateway/src/worker_caller.rs
+++ b/crates/gateway/src/worker_caller.rs
@@ -5,66 +5,73 @@
 
 /// Posts orders to workers; each gives exactly one event back.
 #[derive(Clone)]
-pub struct WorkerCaller {
+pub struct WorkerCaller<P> {
     http: HttpCaller<MonotonicClock>,
+    protocol: P,
     answer_ms: Millis,
     events: mpsc::Sender<LoopEvent>,
 }
 
-impl WorkerCaller {
+impl<P: WorkerProtocol> WorkerCaller<P> {
     /// Starts and stops are given up after `answer_ms` without an answer.
-    pub fn new(http: HttpCaller<MonotonicClock>, answer_ms: Millis, events: mpsc::Sender<LoopEvent>) -> Self {
-        WorkerCaller { http, answer_ms, events }
+    pub fn new(http: HttpCaller<MonotonicClock>, protocol: P, answer_ms: Millis, events: mpsc::Sender<LoopEvent>) -> Self {
+        WorkerCaller { http, protocol, answer_ms, events }
     }
 
     /// Posts a start, once.
     pub fn start(&self, address: String, order: StartOrder, leave_by: Millis) {
-        let attempt = order.attempt;
-        self.post(address, "/start", order, Some(leave_by), self.answer_ms, move |_, reply| GatewayInput::StartAnswered { attempt, reply });
+        let request = self.protocol.start(&order);
+        let (protocol, attempt) = (self.protocol.clone(), order.attempt);
+        self.post(address, request, Some(leave_by), self.answer_ms, move |_, outcome| {
+            let reply = read(outcome, |status, body| protocol.start_answer(&order, status, body));
+            GatewayInput::StartAnswered { attempt, reply }
+        });
     }
 
     /// Posts a stop.
     pub fn stop(&self, address: String, order: StopOrder) {
-        let (attempt, worker) = (order.attempt, order.worker.clone());
-        self.post(address, "/stop", order, None, self.answer_ms, move |_, reply| GatewayInput::StopAnswered { attempt, worker, reply });
+        let request = self.protocol.stop(&order);
+        let (protocol, attempt, worker) = (self.protocol.clone(), order.attempt, order.worker.clone());
+        self.post(address, request, None, self.answer_ms, move |_, outcome| {
+            let reply = read(outcome, |status, body| protocol.stop_answer(&order, status, body));
+            GatewayInput::StopAnswered { attempt, worker, reply }
+        });
     }
 
     /// Posts a hold.
     pub fn hold(&self, address: String, order: HoldOrder, give_up_after_ms: Millis) {
-        let worker = order.worker.clone();
-        self.post(address, "/hold", order, None, give_up_after_ms, move |address, reply| GatewayInput::HoldAnswered {
-            worker,
-            address,
-            reply,
+        let request = self.protocol.hold(&order);
+        let (protocol, worker) = (self.protocol.clone(), order.worker.clone());
+        self.post(address, request, None, give_up_after_ms, move |address, outcome| {
+            let reply = read(outcome, |status, body| protocol.hold_answer(&order, status, body));
+            GatewayInput::HoldAnswered { worker, address, reply }
         });
     }
 
     /// Posts in a task of its own.
-    fn post<O, A, F>(&self, address: String, path: &'static str, order: O, leave_by: Option<Millis>, budget_ms: Millis, event: F)
+    fn post<F>(&self, address: String, request: Option<WorkerRequest>, leave_by: Option<Millis>, budget_ms: Millis, event: F)
     where
-        O: Serialize + Send + 'static,
-        A: DeserializeOwned + Send,
-        F: FnOnce(String, Reply<A>) -> GatewayInput + Send + 'static,
+        F: FnOnce(String, HttpOutcome) -> GatewayInput + Send + 'static,
     {
         let w = self.clone();
         tokio::spawn(async move {
-            let reply = match serde_json::to_vec(&order) {
-                Ok(b) => {
-                    let budget = Duration::from_millis(budget_ms);
-                    read(w.http.post(&address, path, b.into(), leave_by, budget, MOST_ANSWER).await)
+            let outcome = match request {
+                Some(r) => {
+                    let call = HttpPost { address: &address, path: r.path, headers: &r.headers, body: r.body, leave_by };
+                    w.http.post(call, Duration::from_millis(budget_ms), MOST_ANSWER).await
                 }
-                Err(_) => Reply::NotSent,
+                None => HttpOutcome::NotSent,
             };
-            let _ = w.events.send(event(address, reply).into()).await;
+            let _ = w.events.send(event(address, outcome).into()).await;
         });
     }
 }
 
-/// An answer counts only when it is whole and of its kind; whatever else came back proves nothing.
-fn read<A: DeserializeOwned>(o: HttpOutcome) -> Reply<A> {
-    match o {
-        HttpOutcome::Answer(StatusCode::OK, b) => serde_json::from_slice(&b).map_or(Reply::Unknown, Reply::Answer),
-        HttpOutcome::Answer(..) | HttpOutcome::Unknown => Reply::Unknown,
+/// Reads an answer; without one it is known whether the order may have arrived.
+fn read<A>(outcome: HttpOutcome, answer: impl FnOnce(StatusCode, &[u8]) -> Reply<A>) -> Reply<A> {
+    match outcome {
+        HttpOutcome::Answer(status, body) => answer(status, &body),
         HttpOutcome::NotSent => Reply::NotSent,
+        HttpOutcome::Unknown => Reply::Unknown,
     }
 }
--- a/crates/lifetime-placement/src/fleet_bands.rs
+++ b/crates/lifetime-placement/src/fleet_bands.rs
@@ -45,6 +45,11 @@
         &self.settings
     }
 
+    /// Takes over other settings. Time budgets that run go on as they were set.
+    pub fn retune(&mut self, settings: PlacementSettings) {
+        self.settings = settings;
+    }
+
     /// The predictor.
     pub const fn predictor(&self) -> &P {
         &self.predictor
--- a/crates/lifetime-placement/src/room.rs
+++ b/crates/lifetime-placement/src/room.rs
@@ -1,6 +1,6 @@
 use crate::prelude::*;
 
-/// Processor and memory room: of a worker, or needed by a task.
+/// Processor, memory and GPU room: of a worker, or needed by a task.
 ///
 /// ```
 /// use lifetime_placement::prelude::*;
@@ -17,27 +17,38 @@
     /// Megabytes.
     #[n(1)]
     pub memory_mb: u64,
+    /// GPUs.
+    #[n(2)]
+    #[serde(default)]
+    pub gpus: u64,
 }
 
 impl Room {
     /// A room of so many thousandths of a core and megabytes.
     pub const fn new(cpu_millis: u64, memory_mb: u64) -> Self {
-        Self { cpu_millis, memory_mb }
+        Self { cpu_millis, memory_mb, gpus: 0 }
+    }
+
+    /// The same room with so many GPUs.
+    pub const fn with_gpus(self, gpus: u64) -> Self {
+        Self { gpus, ..self }
     }
 
     /// Sum of two rooms.
     pub const fn add(self, other: Self) -> Self {
         Self::new(self.cpu_millis.saturating_add(other.cpu_millis), self.memory_mb.saturating_add(other.memory_mb))
+            .with_gpus(self.gpus.saturating_add(other.gpus))
     }
 
     /// What is left of `self` without `other`; never below zero.
     pub const fn sub(self, other: Self) -> Self {
         Self::new(self.cpu_millis.saturating_sub(other.cpu_millis), self.memory_mb.saturating_sub(other.memory_mb))
+            .with_gpus(self.gpus.saturating_sub(other.gpus))
     }
 
-    /// Whether `self` fits into `free` in both dimensions.
+    /// Whether `self` fits into `free` in all dimensions.
     pub const fn fits(self, free: Self) -> bool {
-        self.cpu_millis <= free.cpu_millis && self.memory_mb <= free.memory_mb
+        self.cpu_millis <= free.cpu_millis && self.memory_mb <= free.memory_mb && self.gpus <= free.gpus
     }
 
     /// Share of `whole` in each dimension, in millionths; an empty dimension counts as full.
--- a/crates/process-plumbing/src/http_caller.rs
+++ b/crates/process-plumbing/src/http_caller.rs
@@ -1,10 +1,25 @@
 use crate::prelude::*;
 
 /// Idle channels kept for each host.
-const IDLE_PER_HOST: usize = 1;
+const IDLE_PER_HOST: usize = 4;
 /// How long an idle channel is kept.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
+/// A call that is posted once.
+#[derive(Debug)]
+pub struct HttpPost<'c> {
+    /// Where to: IP number and port.
+    pub address: &'c str,
+    /// The path.
+    pub path: &'c str,
+    /// Headers beside the content type: (name, value).
+    pub headers: &'c [(&'static str, String)],
+    /// The JSON body.
+    pub body: Bytes,
+    /// The last local time at which the body may leave, if there is one.
+    pub leave_by: Option<Millis>,
+}
+
 /// An HTTP client whose channels come from our own IP number.
 #[derive(Clone)]
 pub struct HttpCaller<C> {
@@ -27,20 +42,16 @@
         HttpCaller { client, clock }
     }
 
-    /// Posts JSON to `http://{address}{path}` once. With `leave_by`, the body never leaves after it.
+    /// Posts JSON once. With `leave_by`, the body never leaves after it.
     /// The answer must be whole within `budget` and `max_answer` bytes.
-    pub async fn post(
-        &self,
-        address: &str,
-        path: &str,
-        body: Bytes,
-        leave_by: Option<Millis>,
-        budget: Duration,
-        max_answer: usize,
-    ) -> HttpOutcome {
+    pub async fn post(&self, post: HttpPost<'_>, budget: Duration, max_answer: usize) -> HttpOutcome {
         let permit = SendPermit::default();
-        let body = GuardedBody::new(body, permit.clone(), self.clock.clone(), leave_by);
-        let r = Request::post(format!("http://{address}{path}")).header("content-type", "application/json").body(body);
+        let body = GuardedBody::new(post.body, permit.clone(), self.clock.clone(), post.leave_by);
+        let mut r = Request::post(format!("http://{}{}", post.address, post.path)).header("content-type", "application/json");
+        for (name, value) in post.headers {
+            r = r.header(*name, value);
+        }
+        let r = r.body(body);
         let Ok(r) = r else { return HttpOutcome::NotSent };
         let call = async {
             let a = self.client.request(r).await.ok()?;
--- a/crates/process-plumbing/src/lib.rs
+++ b/crates/process-plumbing/src/lib.rs
@@ -18,6 +18,7 @@
 mod process_statistics;
 mod send_permit;
 mod settings_command;
+mod settings_source;
 mod shutdown;
 
 pub use prelude::*;
--- a/crates/process-plumbing/src/settings_command.rs
+++ b/crates/process-plumbing/src/settings_command.rs
@@ -69,10 +69,9 @@
     }
 }
 
-/// Settings from the process's own command line; with faults, all of them go to stderr and the process ends with 2.
-pub fn settings_or_exit<S: DeclaredSettings>(program: &str) -> S {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    match SettingsCommand::read(program, &args) {
+/// Settings from a command line; with faults, all of them go to stderr and the process ends with 2.
+pub fn settings_or_exit<S: DeclaredSettings>(program: &str, args: &[String]) -> S {
+    match SettingsCommand::read(program, args) {
         Ok(SettingsCommand::Run(s)) => *s,
         Ok(SettingsCommand::Help(text)) => {
             println!("{text}");
--- a/crates/scheduler-core/src/attempt.rs
+++ b/crates/scheduler-core/src/attempt.rs
@@ -25,6 +25,9 @@
     /// It runs far longer than its like on other workers.
     #[n(6)]
     Stalled,
+    /// More urgent work takes its room.
+    #[n(7)]
+    Preempted,
 }
 
 /// The one attempt of a task that is out.
@@ -68,4 +71,7 @@
     /// It was found to last longer than its like ever did.
     #[n(11)]
     pub overdue: bool,
+    /// Whether it goes on from a checkpoint, or runs away from its data: its duration then tells little of its worker.
+    #[n(12)]
+    pub partial: bool,
 }
--- a/crates/scheduler-core/src/call_decision.rs
+++ b/crates/scheduler-core/src/call_decision.rs
@@ -47,7 +47,14 @@
                 }
                 _ => CallDecision::Propose(Command::Register(c)),
             },
-            CallBody::DrainWorker(c) => CallDecision::Propose(Command::Drain(c)),
+            CallBody::DrainWorker(c) => match s.worker(&c.name) {
+                // A worker that says so again and again costs no log entry.
+                Some((i, w)) if c.order_id.is_none() && c.on && w.drain_ordered && w.leaving >= c.leaves => {
+                    let attempts = s.on_worker.get(&i).map_or(0, BTreeSet::len) as u32;
+                    now(Ok(AnswerBody::DrainWorker(WorkerDrained { name: c.name, draining: true, attempts })))
+                }
+                _ => CallDecision::Propose(Command::Drain(c)),
+            },
             CallBody::RemoveWorker(c) => CallDecision::Propose(Command::Remove(c)),
             CallBody::ListWorkers(c) => now(Ok(AnswerBody::ListWorkers(s.list_workers(&c)))),
             CallBody::EvacuateZone(c) => CallDecision::Propose(Command::Evacuate(c)),
@@ -75,15 +82,15 @@
 
     /// The shortest command for a tree: a patch on its base, or the whole of it.
     fn put(s: &ClusterState, c: PutConfiguration, tree: Vec<u8>, digest: String) -> Command {
-        let PutConfiguration { base_version, change_id, .. } = c;
+        let PutConfiguration { base_version, change_id, source, .. } = c;
         let current = &s.configuration;
         let patch = (base_version == current.version())
             .then(|| SettingsTree::parse_within(&tree, current.bounds()).ok())
             .flatten()
             .and_then(|new| patch_text(current.tree(), &new, tree.len() / 2));
         match patch {
-            Some(patch) => Command::PatchConfiguration { base_version, change_id, digest, patch },
-            None => Command::PutConfiguration { base_version, change_id, tree },
+            Some(patch) => Command::PatchConfiguration { base_version, change_id, digest, patch, source },
+            None => Command::PutConfiguration { base_version, change_id, tree, source },
         }
     }
 
@@ -98,10 +105,11 @@
         if let Err(e) = s.may_accept(&spec) {
             return CallDecision::Answer(Err(e));
         }
-        let mut due_in_ms = spec.start_after_ms.unwrap_or(0);
-        if let Some(t) = spec.not_before_unix_ms {
+        let mut due_in_ms = spec.start_after_ms.unwrap_or(0) as i64;
+        if let Some(t) = spec.repeat.map(|r| r.first_unix_ms).or(spec.not_before_unix_ms) {
             match wall {
-                Some(w) => due_in_ms = due_in_ms.max(t.saturating_sub(w)),
+                Some(w) if spec.repeat.is_some() => due_in_ms = t as i64 - w as i64,
+                Some(w) => due_in_ms = due_in_ms.max(t.saturating_sub(w) as i64),
                 None => return CallDecision::Answer(Err(CallError::NoLeader { retry_after_ms: s.tables.rules.hold_interval_ms })),
             }
         }
--- a/crates/scheduler-core/src/cluster_rules.rs
+++ b/crates/scheduler-core/src/cluster_rules.rs
@@ -40,8 +40,14 @@
     /// How many schedulers are to vote; 0: as many as do.
     #[n(11)]
     pub voters: u64,
+    /// Upper bound of the first placement class; the others follow in ratios of ten.
+    #[n(12)]
+    pub first_class_ms: Millis,
 }
 
+/// Upper bound of the first placement class where settings say nothing else.
+const FIRST_CLASS_MS: Millis = 60_000;
+
 impl ClusterRules {
     /// Rules as ratios to the hold interval.
     ///
@@ -64,6 +70,7 @@
             stall_check_ms: 10 * h,
             stall_ratio: 3,
             voters: 0,
+            first_class_ms: FIRST_CLASS_MS,
         }
     }
 }
--- a/crates/scheduler-core/src/cluster_state.rs
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -33,8 +33,8 @@
     pub open_jobs: BTreeMap<Name, u64>,
     /// The zones of each queue.
     pub queue_zones: BTreeMap<Name, Vec<Name>>,
-    /// Timed jobs by their time.
-    pub timed: BTreeSet<(Millis, JobNumber)>,
+    /// Occurrences of jobs that aren't due, by their time.
+    pub timed: BTreeSet<(Millis, JobNumber, u16)>,
     /// Unproven starts by the time they are to be voided.
     pub unproven: BTreeSet<(Millis, TaskId)>,
     /// Running attempts by the time they are looked at for a stall.
@@ -42,15 +42,15 @@
     /// Overdue attempts by queue and kind, and by worker.
     pub overdue: BTreeMap<(u64, u64), BTreeMap<WorkerIndex, u64>>,
     /// Gangs that are out, by the time they must run whole.
-    pub gangs: BTreeSet<(Millis, JobNumber, u16)>,
+    pub gangs: BTreeSet<ReadyStep>,
     /// Finished jobs by the time they are forgotten.
     pub finished: BTreeSet<(Millis, JobNumber)>,
 }
 
 /// The paper's ranking, but for one thing: recycling workers of all higher classes rank alike, and the tie-break decides
 /// between them. The replay shows more empty workers and less harm from wrong predictions (docs/design/placement.md).
-fn placement_settings() -> PlacementSettings {
-    PlacementSettings { near_recycling_first: false, ..PlacementSettings::default() }
+fn placement_settings(first_class_ms: Millis) -> PlacementSettings {
+    PlacementSettings { near_recycling_first: false, ..PlacementSettings::with_first_bound(first_class_ms) }
 }
 
 /// A snapshot that can't be used.
@@ -85,7 +85,7 @@
 impl ClusterState {
     /// An empty cluster.
     pub fn new(rules: ClusterRules) -> Result<Self, StateError> {
-        let ps = placement_settings();
+        let ps = placement_settings(rules.first_class_ms);
         let bands = FleetBands::new(ps.clone(), LearnedDistributions::new(&ps), PlacementStrategy::Lava).context(PlacementSnafu)?;
         Ok(Self::of(Tables::new(rules), ConfigurationHistory::default(), bands))
     }
@@ -150,7 +150,8 @@
         ensure!(Sha256::digest(rest)[..CHECK_BYTES] == *check, DamagedSnafu);
         let (tables, c, p): (Tables, minicbor::bytes::ByteVec, minicbor::bytes::ByteVec) = minicbor::decode(rest).context(DecodingSnafu)?;
         let configuration = ConfigurationHistory::decode(&c, ConfigurationSettings::default()).context(ConfigurationSnafu)?;
-        let bands = FleetBands::decode(placement_settings(), PlacementStrategy::Lava, &p).context(PlacementSnafu)?;
+        let ps = placement_settings(tables.rules.first_class_ms);
+        let bands = FleetBands::decode(ps, PlacementStrategy::Lava, &p).context(PlacementSnafu)?;
         Ok(Self::of(tables, configuration, bands))
     }
 
@@ -220,14 +221,14 @@
         let st = &spec.steps[step as usize];
         let labels = spec.labels.iter().flat_map(|(k, v)| [k.as_str(), v.as_str()]);
         let kind = TaskFeatures::digest([spec.service.as_str(), st.name.as_str()].into_iter().chain(labels));
-        let room = Room::new(st.cpu_millis, st.memory_mb);
+        let room = room_of(st);
         TaskToPlace::new(key, TaskFeatures::digest([spec.queue.as_str()]), kind, room, spec.run_until_cancelled)
     }
 
     /// How long an attempt may run before it counts as stalled; `None` while too little is known of its like.
     pub(crate) fn stall_limit(&self, task: TaskId) -> Option<Millis> {
         let j = self.tables.jobs.get(&task.job)?;
-        let t = j.steps.get(task.step as usize)?.tasks.get(task.index as usize)?;
+        let t = j.step(task.step_id())?.tasks.get(task.index as usize)?;
         let place = self.task_to_place(j.spec.as_deref()?, task.step, 0);
         let (longest, _) = self.bands.predictor().longest_ms(&place.features)?;
         let limit = longest.max(self.tables.rules.hold_interval_ms) * self.tables.rules.stall_ratio;
@@ -236,10 +237,9 @@
     }
 
     /// Whether a gateway holds attempts of a step.
-    pub(crate) fn holds_of(&self, gateway: &str, job: JobNumber, step: u16) -> bool {
-        let (from, to) = (TaskId { job, step, index: 0 }, TaskId { job, step, index: u32::MAX });
+    pub(crate) fn holds_of(&self, gateway: &str, step: StepId) -> bool {
         let mine = |a: &Attempt| self.tables.workers.get(&a.worker).is_some_and(|w| w.gateway.as_deref() == Some(gateway));
-        self.tables.attempts.range(from..=to).any(|(_, a)| mine(a))
+        self.tables.attempts.range(step.tasks()).any(|(_, a)| mine(a))
     }
 
     /// Queue and kind of a task, and its worker.
@@ -272,21 +272,26 @@
     }
 
     /// Whether placement finds a step, and where.
-    pub(crate) fn refresh_ready(&mut self, job: JobNumber, step: u16) {
-        let Some(j) = self.tables.jobs.get(&job) else { return };
+    pub(crate) fn refresh_ready(&mut self, id: StepId) {
+        let Some(j) = self.tables.jobs.get(&id.job) else { return };
         let Some(spec) = j.spec.as_deref() else { return };
-        let (Some(s), Some(st)) = (j.steps.get(step as usize), spec.steps.get(step as usize)) else { return };
-        let open = j.due && j.ending.is_none() && s.waits_for == 0;
+        let (Some(s), Some(st)) = (j.step(id), spec.steps.get(id.step as usize)) else { return };
+        let Some(occurrence) = j.occurrences.get(id.occurrence as usize) else { return };
+        let open = occurrence.due && j.ending.is_none() && s.waits_for == 0;
         let ready = open && s.waiting_count() > 0 && (!st.gang || s.live == 0);
-        let group = ReadyGroup {
-            queue: spec.queue.clone(),
-            asked: spec.urgency,
-            service: spec.service.clone(),
-            kinds: st.kinds.clone(),
-            room: Room::new(st.cpu_millis, st.memory_mb),
-            gang: if st.gang { st.tasks } else { 0 },
-        };
-        self.ready.set(group, (j.due_at, job, step), ready);
+        let due_at = occurrence.due_at;
+        self.ready.set(ready_group(spec, id), (due_at, id), ready);
+    }
+
+    /// Takes over the bounds of the placement classes.
+    pub(crate) fn retune_bands(&mut self) {
+        self.bands.retune(placement_settings(self.tables.rules.first_class_ms));
+    }
+
+    /// The number that a new job gets.
+    pub(crate) fn next_job_number(&self, spec: &JobSpec) -> JobNumber {
+        let free = |n: &JobNumber| !self.tables.jobs.contains_key(n);
+        spec.number.unwrap_or_else(|| (self.tables.next_job..).find(free).unwrap_or(self.tables.next_job))
     }
 
     /// Works out all indexes from the tables.
@@ -317,18 +322,20 @@
             if !j.summary.state.is_final() {
                 *self.open_jobs.entry(j.summary.queue.clone()).or_default() += 1;
             }
-            if !j.due && j.ending.is_none() {
-                self.timed.insert((j.due_at, j.number));
+            for (k, o) in j.occurrences.iter().enumerate() {
+                if !o.due && j.ending.is_none() {
+                    self.timed.insert((o.due_at, j.number, k as u16));
+                }
             }
-            for (i, s) in j.steps.iter().enumerate() {
-                steps.push((j.number, i as u16));
-                if let Some(by) = s.gang_by {
-                    self.gangs.insert((by, j.number, i as u16));
+            for id in j.step_ids() {
+                steps.push(id);
+                if let Some(by) = j.step(id).and_then(|s| s.gang_by) {
+                    self.gangs.insert((by, id));
                 }
             }
         }
-        for (j, s) in steps {
-            self.refresh_ready(j, s);
+        for id in steps {
+            self.refresh_ready(id);
         }
         let overdue: Vec<TaskId> = self.tables.attempts.iter().filter(|(_, a)| a.overdue).map(|(t, _)| *t).collect();
         for t in overdue {
@@ -338,3 +345,25 @@
         self.finished.extend(over);
     }
 }
+
+/// What makes the tasks of a step alike with those of others.
+fn ready_group(spec: &JobSpec, id: StepId) -> ReadyGroup {
+    let st = &spec.steps[id.step as usize];
+    ReadyGroup {
+        queue: spec.queue.clone(),
+        asked: spec.urgency,
+        service: spec.service.clone(),
+        kinds: st.kinds.clone(),
+        room: room_of(st),
+        gang: if st.gang { st.tasks } else { 0 },
+        same_rack: st.same_rack,
+        labels: st.labels.clone(),
+        near_rack: st.near_rack.clone(),
+        spread: (st.most_per_worker > 0).then_some((st.most_per_worker, id)),
+    }
+}
+
+/// The room that one task of a step takes.
+pub(crate) fn room_of(st: &StepSpec) -> Room {
+    Room::new(st.cpu_millis, st.memory_mb).with_gpus(st.gpus)
+}
--- a/crates/scheduler-core/src/command.rs
+++ b/crates/scheduler-core/src/command.rs
@@ -9,9 +9,9 @@
         /// The job.
         #[n(0)]
         spec: JobSpec,
-        /// Not before this long after the entry's time.
+        /// Occurrence 0 falls due this long after the entry's time; below 0: it is past.
         #[n(1)]
-        due_in_ms: Millis,
+        due_in_ms: i64,
     },
     /// A caller's cancellation.
     #[n(1)]
@@ -41,6 +41,9 @@
         #[n(2)]
         #[cbor(with = "minicbor::bytes")]
         tree: Vec<u8>,
+        /// The operator's text kept beside it.
+        #[n(3)]
+        source: Option<String>,
     },
     /// A tree of settings as a JSON Patch on the version it was built on.
     #[n(14)]
@@ -57,6 +60,9 @@
         /// The patch.
         #[n(3)]
         patch: String,
+        /// The operator's text kept beside it.
+        #[n(4)]
+        source: Option<String>,
     },
     /// A gateway attached.
     #[n(7)]
@@ -106,7 +112,16 @@
         /// How many schedulers are to vote.
         #[n(1)]
         voters: u64,
+        /// How long members of a gang wait for each other.
+        #[n(2)]
+        gang_wait_ms: Millis,
+        /// Upper bound of the first placement class.
+        #[n(3)]
+        first_class_ms: Millis,
     },
+    /// Attempts of less urgent work that are to make room.
+    #[n(15)]
+    Preempt(#[n(0)] Vec<TaskId>),
     /// Nothing but the passing of time.
     #[n(11)]
     Advance,
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -4,9 +4,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A job is accepted.
-    JobAccepted { spec: Arc<JobSpec>, digest: u64, at: Millis, due_at: Millis, urgency: u8 },
-    /// A job's time has come.
-    JobDue { job: JobNumber },
+    JobAccepted { spec: Arc<JobSpec>, digest: u64, at: Millis, due_at: Vec<Millis>, urgency: u8 },
+    /// The time of an occurrence of a job has come.
+    JobDue { job: JobNumber, occurrence: u16 },
     /// A job begins to end.
     JobEnding { job: JobNumber, state: JobState, at: Millis },
     /// Nothing of a job is out any more.
@@ -24,17 +24,23 @@
     /// An attempt is over.
     AttemptOver { task: TaskId, how: TaskEvent, at: Millis },
     /// A step's last task ended well.
-    StepDone { job: JobNumber, step: u16 },
+    StepDone { step: StepId },
     /// A gang is out and must run whole by then.
-    GangOut { job: JobNumber, step: u16, by: Millis },
+    GangOut { step: StepId, by: Millis },
     /// A gang runs whole, or is no longer waited for.
-    GangSettled { job: JobNumber, step: u16 },
+    GangSettled { step: StepId },
+    /// A member of a gang ended well, which stands for all; or its run failed.
+    GangRunOver { step: StepId, well: bool },
+    /// Where a task goes on from when it starts again.
+    CheckpointSeen { task: TaskId, checkpoint: String },
     /// A worker is known, or told of itself anew.
     WorkerKnown { worker: WorkerIndex, told: RegisterWorker },
     /// A worker came back with another boot.
     WorkerReborn { worker: WorkerIndex, boot_id: String },
     /// A worker's drain changed: as ordered, as asked by itself.
     WorkerDraining { worker: WorkerIndex, ordered: bool, asked: bool },
+    /// A worker is about to end: it is forgotten once nothing of it runs.
+    WorkerLeaving { worker: WorkerIndex },
     /// A drain's order id is to be remembered.
     DrainOrdered { order_id: String, name: Name, on: bool },
     /// A worker answers its gateway, or doesn't.
--- a/crates/scheduler-core/src/explain.rs
+++ b/crates/scheduler-core/src/explain.rs
@@ -10,18 +10,20 @@
         match (j.spec.as_deref(), j.ending) {
             (None, _) => reasons.push(format!("it is over: {}", j.summary.state.word())),
             (_, Some(s)) => reasons.push(format!("it ends as {}: {} tasks are still being stopped", s.word(), j.live())),
-            (Some(_), None) if !j.due => {
-                reasons.push(format!("its time comes in {:.1} s", j.due_at.saturating_sub(now) as f64 / 1e3));
+            (Some(_), None) if j.occurrences.iter().all(|o| !o.due) => {
+                let due_at = j.occurrences.first().map_or(now, |o| o.due_at);
+                reasons.push(format!("its time comes in {:.1} s", due_at.saturating_sub(now) as f64 / 1e3));
             }
             (Some(spec), None) => {
                 if t.running + t.starting > 0 {
                     reasons.push(format!("{} of its tasks run, {} are starting", t.running, t.starting));
                 }
-                for (i, (s, st)) in j.steps.iter().zip(&spec.steps).enumerate() {
+                for (id, s) in j.step_ids().zip(&j.steps).filter(|(id, _)| j.is_due(id.occurrence)) {
+                    let st = &spec.steps[id.step as usize];
                     if s.waits_for > 0 {
                         reasons.push(format!("step {} waits for {}", st.name, st.after.join(", ")));
                     } else if s.waiting_count() > 0 {
-                        reasons.push(format!("step {}: {} tasks wait: {}", st.name, s.waiting_count(), self.why_step(j, spec, i as u16)));
+                        reasons.push(format!("step {}: {} tasks wait: {}", st.name, s.waiting_count(), self.why_step(s, spec, id.step)));
                     }
                 }
             }
@@ -30,13 +32,12 @@
     }
 
     /// Why tasks of an open step wait.
-    fn why_step(&self, j: &Job, spec: &JobSpec, step: u16) -> String {
+    fn why_step(&self, s: &Step, spec: &JobSpec, step: u16) -> String {
         let st = &spec.steps[step as usize];
-        let s = &j.steps[step as usize];
         if st.gang && s.live > 0 {
             return "its gang is being brought back together".into();
         }
-        let room = Room::new(st.cpu_millis, st.memory_mb);
+        let room = room_of(st);
         let mut why: BTreeMap<&str, u32> = BTreeMap::new();
         for (i, w) in &self.tables.workers {
             let kind = st.kinds.is_empty() || st.kinds.contains(&w.told.kind);
@@ -50,6 +51,8 @@
                 "are in a zone where the queue isn't"
             } else if settings.is_some_and(|q| !q.settings.kinds.is_empty() && !q.settings.kinds.contains(&w.told.kind)) {
                 "are of a kind that the queue may not use"
+            } else if !st.labels.iter().all(|l| w.told.labels.contains(l)) {
+                "lack a label that the step asks for"
             } else if !room.fits(w.room()) {
                 "are too small even when empty"
             } else if self.tables.evacuated.contains(&w.told.zone) {
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -7,8 +7,8 @@
     /// Folds one event. All change of state goes through here.
     pub fn fold(&mut self, e: &Event) {
         match e {
-            Event::JobAccepted { spec, digest, at, due_at, urgency } => self.job_accepted(spec, *digest, *at, *due_at, *urgency),
-            Event::JobDue { job } => self.job_due(*job),
+            Event::JobAccepted { spec, digest, at, due_at, urgency } => self.job_accepted(spec, *digest, *at, due_at, *urgency),
+            Event::JobDue { job, occurrence } => self.job_due(*job, *occurrence),
             Event::JobEnding { job, state, at } => self.job_ending(*job, *state, *at),
             Event::JobOver { job, state, at } => self.job_over(*job, *state, *at),
             Event::JobForgotten { job } => self.job_forgotten(*job),
@@ -36,9 +36,21 @@
                 }
             }
             Event::AttemptOver { task, how, at } => self.attempt_over(*task, *how, *at),
-            Event::StepDone { job, step } => self.step_done(*job, *step),
-            Event::GangOut { job, step, by } => self.gang(*job, *step, Some(*by)),
-            Event::GangSettled { job, step } => self.gang(*job, *step, None),
+            Event::StepDone { step } => self.step_done(*step),
+            Event::GangOut { step, by } => {
+                self.gang(*step, Some(*by));
+                if let Some(s) = self.step_mut(*step) {
+                    s.gang_runs = s.gang_runs.saturating_add(1);
+                }
+            }
+            Event::GangSettled { step } => self.gang(*step, None),
+            Event::GangRunOver { step, well } => {
+                if let Some(s) = self.step_mut(*step) {
+                    s.gang_done |= *well;
+                    s.gang_failures += u32::from(!*well);
+                }
+            }
+            Event::CheckpointSeen { task, checkpoint } => self.checkpoint_seen(*task, checkpoint),
             Event::WorkerKnown { worker, told } => self.worker_known(*worker, told),
             Event::WorkerReborn { worker, boot_id } => {
                 if let Some(w) = self.tables.workers.get_mut(worker) {
@@ -51,6 +63,11 @@
                     (w.drain_ordered, w.drain_asked) = (*ordered, *asked);
                 }
             }
+            Event::WorkerLeaving { worker } => {
+                if let Some(w) = self.tables.workers.get_mut(worker) {
+                    w.leaving = true;
+                }
+            }
             Event::DrainOrdered { order_id, name, on } => self.remember_order((order_id.clone(), name.clone(), *on)),
             Event::WorkerReachable { worker, reachable } => {
                 if let Some(w) = self.tables.workers.get_mut(worker) {
@@ -91,6 +108,7 @@
                 self.unproven.clear();
                 let unproven = self.tables.attempts.iter().filter(|(_, a)| a.started.is_none() && a.stop.is_none());
                 self.unproven.extend(unproven.map(|(t, a)| (a.intended_at + rules.unproven_ms, *t)));
+                self.retune_bands();
             }
             Event::ZoneEvacuated { zone, on, order_id, .. } => {
                 match on {
@@ -109,9 +127,27 @@
         }
     }
 
-    fn job_accepted(&mut self, spec: &Arc<JobSpec>, digest: u64, at: Millis, due_at: Millis, urgency: u8) {
-        let number = self.tables.next_job;
-        self.tables.next_job += 1;
+    /// A step, to be changed.
+    fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
+        self.tables.jobs.get_mut(&id.job)?.step_mut(id)
+    }
+
+    /// A checkpoint serves one task, or all members of a gang.
+    fn checkpoint_seen(&mut self, task: TaskId, checkpoint: &str) {
+        let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
+        let gang = j.spec.as_deref().and_then(|s| s.steps.get(task.step as usize)).is_some_and(|s| s.gang);
+        let Some(s) = j.step_mut(task.step_id()) else { return };
+        let members = if gang { 0..s.tasks.len() } else { task.index as usize..task.index as usize + 1 };
+        for t in s.tasks.get_mut(members).into_iter().flatten() {
+            t.checkpoint = Some(checkpoint.to_owned());
+        }
+    }
+
+    fn job_accepted(&mut self, spec: &Arc<JobSpec>, digest: u64, at: Millis, due_at: &[Millis], urgency: u8) {
+        let number = self.next_job_number(spec);
+        if spec.number.is_none() {
+            self.tables.next_job = number + 1;
+        }
         let summary = JobSummary {
             job: number,
             name: spec.name.clone(),
@@ -123,40 +159,40 @@
             accepted_at_ms: at,
             ended_at_ms: None,
         };
-        let mut steps: Vec<Step> = spec.steps.iter().map(|s| Step::new(s.after.len() as u32)).collect();
-        for (s, st) in steps.iter_mut().zip(&spec.steps).filter(|(s, _)| s.waits_for == 0) {
-            s.tasks = vec![Task::new(); st.tasks as usize];
-        }
+        let steps = due_at.iter().flat_map(|_| spec.steps.iter().map(|s| Step::new(s.after.len() as u32))).collect();
+        let occurrences = due_at.iter().map(|at| Occurrence { due_at: *at, due: false }).collect();
         self.names.insert(spec.name.clone(), number);
         *self.open_jobs.entry(spec.queue.clone()).or_default() += 1;
-        let job = Job {
-            number,
-            spec: Some(Box::new(JobSpec::clone(spec))),
-            digest,
-            summary,
-            due_at,
-            due: false,
-            ending: None,
-            steps,
-            forget_at: 0,
-        };
+        let spec = Some(Box::new(JobSpec::clone(spec)));
+        let job = Job { number, spec, digest, summary, occurrences, ending: None, steps, forget_at: 0 };
         self.tables.jobs.insert(number, job);
-        self.timed.insert((due_at, number));
+        self.timed.extend((0..).zip(due_at).map(|(occurrence, at)| (*at, number, occurrence)));
     }
 
-    fn job_due(&mut self, job: JobNumber) {
+    fn job_due(&mut self, job: JobNumber, occurrence: u16) {
         let Some(j) = self.tables.jobs.get_mut(&job) else { return };
-        j.due = true;
-        self.timed.remove(&(j.due_at, job));
-        for s in 0..j.steps.len() as u16 {
-            self.refresh_ready(job, s);
+        let Some(o) = j.occurrences.get_mut(occurrence as usize) else { return };
+        o.due = true;
+        self.timed.remove(&(o.due_at, job, occurrence));
+        let Some(spec) = j.spec.take() else { return };
+        for (step, st) in (0..).zip(&spec.steps) {
+            if let Some(s) = j.step_mut(StepId { job, occurrence, step }).filter(|s| s.waits_for == 0) {
+                s.tasks = vec![Task::new(); st.tasks as usize];
+            }
+        }
+        j.spec = Some(spec);
+        let ids: Vec<StepId> = j.step_ids().filter(|id| id.occurrence == occurrence).collect();
+        for id in ids {
+            self.refresh_ready(id);
         }
     }
 
     fn job_ending(&mut self, job: JobNumber, state: JobState, at: Millis) {
         let Some(j) = self.tables.jobs.get_mut(&job) else { return };
         j.ending = Some(state);
-        self.timed.remove(&(j.due_at, job));
+        for (k, o) in j.occurrences.iter().enumerate() {
+            self.timed.remove(&(o.due_at, job, k as u16));
+        }
         // Waiting tasks are dropped in one sweep: their records need no change one by one.
         let c = &mut j.summary.tasks;
         c.cancelled += std::mem::take(&mut c.waiting);
@@ -165,8 +201,9 @@
             j.summary.ended_at_ms = Some(at);
             Self::less(&mut self.open_jobs, &j.summary.queue);
         }
-        for s in 0..j.steps.len() as u16 {
-            self.refresh_ready(job, s);
+        let ids: Vec<StepId> = j.step_ids().collect();
+        for id in ids {
+            self.refresh_ready(id);
         }
     }
 
@@ -189,8 +226,8 @@
         j.summary.ended_at_ms.get_or_insert(at);
         j.spec = None;
         // A gang that was out when its job ended has no date any more.
-        for (n, by) in j.steps.iter().enumerate().filter_map(|(n, s)| Some((n, s.gang_by?))) {
-            self.gangs.remove(&(by, job, n as u16));
+        for (by, id) in j.step_ids().filter_map(|id| Some((j.step(id)?.gang_by?, id))) {
+            self.gangs.remove(&(by, id));
         }
         j.steps = Vec::new();
         let keep = self.queue_bounds(&queue).map_or(0, |b| b.2).max(LEAST_RETENTION_HOLDS * self.tables.rules.hold_interval_ms);
@@ -215,11 +252,14 @@
         let Some(spec) = j.spec.clone() else { return };
         let Some(w) = self.tables.workers.get_mut(&worker) else { return };
         let st = &spec.steps[task.step as usize];
-        let room = Room::new(st.cpu_millis, st.memory_mb);
-        let s = &mut j.steps[task.step as usize];
-        let t = &mut s.tasks[task.index as usize];
-        t.attempts += 1;
+        let room = room_of(st);
+        let Some(s) = j.step_mut(task.step_id()) else { return };
+        let gang_run = st.gang.then_some(s.gang_runs);
+        let Some(t) = s.tasks.get_mut(task.index as usize) else { return };
+        t.attempts = gang_run.unwrap_or(t.attempts + 1);
         let number = t.attempts;
+        let far = st.near_rack.as_ref().is_some_and(|r| *r != w.told.rack);
+        let partial = far || t.checkpoint.is_some();
         let Some(to) = task_chart().next(t.state, TaskEvent::Intended) else { return };
         let from = std::mem::replace(&mut t.state, to);
         if task.index == s.fresh {
@@ -251,12 +291,13 @@
             room,
             check_at: 0,
             overdue: false,
+            partial,
         };
         self.tables.attempts.insert(task, a);
         let place = self.task_to_place(&spec, task.step, key);
         // A worker that the tables know is known to the bands: folded from the same events.
         let _ = self.bands.task_placed(at, worker, &place);
-        self.refresh_ready(task.job, task.step);
+        self.refresh_ready(task.step_id());
     }
 
     fn attempt_started(&mut self, task: TaskId, boot_id: &str, at: Millis) {
@@ -269,9 +310,12 @@
             a.check_at = at + self.tables.rules.stall_check_ms;
             self.checks.insert((a.check_at, task));
         }
-        let t = &mut j.steps[task.step as usize].tasks[task.index as usize];
-        if let Some(to) = task_chart().next(t.state, TaskEvent::Started) {
-            let from = std::mem::replace(&mut t.state, to);
+        let t = j.step_mut(task.step_id()).and_then(|s| s.tasks.get_mut(task.index as usize));
+        let moved = t.and_then(|t| {
+            let to = task_chart().next(t.state, TaskEvent::Started)?;
+            Some((std::mem::replace(&mut t.state, to), to))
+        });
+        if let Some((from, to)) = moved {
             j.count(from, to);
         }
         if j.summary.state == JobState::Waiting {
@@ -300,6 +344,9 @@
         };
         let _ = self.bands.task_ended(at, a.worker, a.key, outcome);
         self.judge_worker(&a, how, at);
+        if how == TaskEvent::Succeeded {
+            self.judge_pace(task, &a, at);
+        }
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
         if let Some(w) = self.tables.workers.get_mut(&a.worker) {
             w.used = w.used.sub(a.room);
@@ -318,9 +365,9 @@
             j.summary.failures += 1;
         }
         let ending = j.ending.is_some();
-        let s = &mut j.steps[task.step as usize];
+        let Some(s) = j.step_mut(task.step_id()) else { return };
         s.live -= 1;
-        let t = &mut s.tasks[task.index as usize];
+        let Some(t) = s.tasks.get_mut(task.index as usize) else { return };
         if matches!(how, TaskEvent::Failed | TaskEvent::GivenUp) {
             t.failures += 1;
             t.avoid = Some(a.worker);
@@ -342,12 +389,12 @@
         s.succeeded += u32::from(to == TaskState::Succeeded);
         t.state = to;
         j.count(from, to);
-        self.refresh_ready(task.job, task.step);
+        self.refresh_ready(task.step_id());
     }
 
     /// Whether an earlier attempt of a task was stopped as stalled.
     fn was_stalled(&self, task: TaskId) -> bool {
-        let step = self.tables.jobs.get(&task.job).and_then(|j| j.steps.get(task.step as usize));
+        let step = self.tables.jobs.get(&task.job).and_then(|j| j.step(task.step_id()));
         step.and_then(|s| s.tasks.get(task.index as usize)).is_some_and(|t| t.stalls > 0)
     }
 
@@ -378,34 +425,48 @@
         self.tables.fleet_health = ((good + w.health.good - before.good).max(0.0), (bad + w.health.bad - before.bad).max(0.0));
     }
 
-    fn step_done(&mut self, job: JobNumber, step: u16) {
-        let Some(j) = self.tables.jobs.get_mut(&job) else { return };
-        let Some(spec) = j.spec.as_deref() else { return };
-        let name = &spec.steps[step as usize].name;
+    /// What the duration of a finished task says of its worker, beside those of the same step that ended before.
+    fn judge_pace(&mut self, task: TaskId, a: &Attempt, at: Millis) {
+        let Some(duration) = a.started.as_ref().map(|s| at.saturating_sub(s.0)).filter(|_| !a.partial) else { return };
+        let Some(s) = self.tables.jobs.get_mut(&task.job).and_then(|j| j.step_mut(task.step_id())) else { return };
+        let (count, sum) = s.durations;
+        s.durations = (count + 1, sum + duration);
+        if count > 0
+            && let Some(w) = self.tables.workers.get_mut(&a.worker)
+        {
+            w.pace.record(duration, sum as f64 / f64::from(count));
+        }
+    }
+
+    fn step_done(&mut self, id: StepId) {
+        let Some(j) = self.tables.jobs.get_mut(&id.job) else { return };
+        let Some(spec) = j.spec.take() else { return };
+        let name = &spec.steps[id.step as usize].name;
         let mut opened = Vec::new();
-        for (i, st) in spec.steps.iter().enumerate() {
+        for (step, st) in (0..).zip(&spec.steps) {
             let by = st.after.iter().filter(|a| *a == name).count() as u32;
-            if by > 0 {
-                let s = &mut j.steps[i];
+            let next = StepId { step, ..id };
+            if let Some(s) = j.step_mut(next).filter(|_| by > 0) {
                 s.waits_for -= by;
                 if s.waits_for == 0 {
                     s.tasks = vec![Task::new(); st.tasks as usize];
-                    opened.push(i as u16);
+                    opened.push(next);
                 }
             }
         }
-        for s in opened {
-            self.refresh_ready(job, s);
+        j.spec = Some(spec);
+        for id in opened {
+            self.refresh_ready(id);
         }
     }
 
-    fn gang(&mut self, job: JobNumber, step: u16, by: Option<Millis>) {
-        let Some(s) = self.tables.jobs.get_mut(&job).and_then(|j| j.steps.get_mut(step as usize)) else { return };
+    fn gang(&mut self, id: StepId, by: Option<Millis>) {
+        let Some(s) = self.step_mut(id) else { return };
         if let Some(old) = std::mem::replace(&mut s.gang_by, by) {
-            self.gangs.remove(&(old, job, step));
+            self.gangs.remove(&(old, id));
         }
         if let Some(by) = by {
-            self.gangs.insert((by, job, step));
+            self.gangs.insert((by, id));
         }
     }
 
--- a/crates/scheduler-core/src/job.rs
+++ b/crates/scheduler-core/src/job.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// A task's record.
-#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 #[cbor(array)]
 pub struct Task {
     /// Where it stands.
@@ -19,12 +19,15 @@
     /// Attempts that were given up as stalled: each doubles the patience with the next.
     #[n(4)]
     pub stalls: u8,
+    /// Where its next attempt goes on from.
+    #[n(5)]
+    pub checkpoint: Option<String>,
 }
 
 impl Task {
     /// A task that nothing has happened to.
     pub fn new() -> Self {
-        Task { state: task_chart().initial(), attempts: 0, failures: 0, avoid: None, stalls: 0 }
+        Task { state: task_chart().initial(), attempts: 0, failures: 0, avoid: None, stalls: 0, checkpoint: None }
     }
 }
 
@@ -59,12 +62,24 @@
     /// When a gang that is out must run whole, in cluster time.
     #[n(6)]
     pub gang_by: Option<Millis>,
+    /// Runs of a gang so far: all members of one run share this number.
+    #[n(7)]
+    pub gang_runs: u16,
+    /// Runs of a gang that failed.
+    #[n(8)]
+    pub gang_failures: u32,
+    /// A member of a gang ended well, which stands for all.
+    #[n(9)]
+    pub gang_done: bool,
+    /// How many of its tasks ended well with a known duration, and how long these ran in all.
+    #[n(10)]
+    pub durations: (u32, Millis),
 }
 
 impl Step {
     /// A step of so many tasks that waits for so many others.
     pub fn new(waits_for: u32) -> Self {
-        Step { waits_for, tasks: Vec::new(), fresh: 0, again: BTreeSet::new(), live: 0, succeeded: 0, gang_by: None }
+        Step { waits_for, tasks: Vec::new(), fresh: 0, again: BTreeSet::new(), live: 0, succeeded: 0, gang_by: None, gang_runs: 0, gang_failures: 0, gang_done: false, durations: (0, 0) }
     }
 
     /// Tasks that could start now, the next one first.
@@ -78,6 +93,18 @@
     }
 }
 
+/// One time at which a job's steps run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(array)]
+pub struct Occurrence {
+    /// Not before this cluster time.
+    #[n(0)]
+    pub due_at: Millis,
+    /// Whether its time has come.
+    #[n(1)]
+    pub due: bool,
+}
+
 /// A job's record.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 #[cbor(array)]
@@ -94,16 +121,13 @@
     /// The list form, kept up to date.
     #[n(3)]
     pub summary: JobSummary,
-    /// Not before this cluster time.
+    /// The times at which its steps run, at least one.
     #[n(4)]
-    pub due_at: Millis,
-    /// Whether its time has come.
-    #[n(5)]
-    pub due: bool,
+    pub occurrences: Vec<Occurrence>,
     /// Set once it is ending: the state it ends in.
     #[n(6)]
     pub ending: Option<JobState>,
-    /// Its steps; empty once it is over.
+    /// Its steps, those of occurrence 0 first; empty once it is over.
     #[n(7)]
     pub steps: Vec<Step>,
     /// Once it is over: when it is forgotten, in cluster time. Kept, so that it is the same on every scheduler.
@@ -117,6 +141,35 @@
         self.summary.state.is_final() && self.spec.is_none()
     }
 
+    /// Where a step stands in the table of all occurrences.
+    fn place(&self, id: StepId) -> usize {
+        let steps = self.steps.len() / self.occurrences.len().max(1);
+        usize::from(id.occurrence) * steps + usize::from(id.step)
+    }
+
+    /// A step of an occurrence.
+    pub fn step(&self, id: StepId) -> Option<&Step> {
+        self.steps.get(self.place(id))
+    }
+
+    /// A step of an occurrence, to be changed.
+    pub fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
+        let place = self.place(id);
+        self.steps.get_mut(place)
+    }
+
+    /// The ids of all steps of all occurrences.
+    pub fn step_ids(&self) -> impl Iterator<Item = StepId> + use<> {
+        let (job, occurrences) = (self.number, self.occurrences.len() as u16);
+        let steps = (self.steps.len() / self.occurrences.len().max(1)) as u16;
+        (0..occurrences).flat_map(move |occurrence| (0..steps).map(move |step| StepId { job, occurrence, step }))
+    }
+
+    /// Whether an occurrence's time has come.
+    pub fn is_due(&self, occurrence: u16) -> bool {
+        self.occurrences.get(usize::from(occurrence)).is_some_and(|o| o.due)
+    }
+
     /// Tasks out at workers.
     pub fn live(&self) -> u32 {
         self.summary.tasks.starting + self.summary.tasks.running
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -68,11 +68,11 @@
             Command::Drain(d) => Some(self.drain(&d).map(AnswerBody::DrainWorker)),
             Command::Remove(r) => Some(self.remove(&r).map(AnswerBody::RemoveWorker)),
             Command::Evacuate(e) => Some(self.evacuate(e).map(AnswerBody::EvacuateZone)),
-            Command::PutConfiguration { base_version, change_id, tree } => {
-                Some(self.put_configuration(base_version, &change_id, &tree).map(AnswerBody::PutConfiguration))
+            Command::PutConfiguration { base_version, change_id, tree, source } => {
+                Some(self.put_configuration(base_version, &change_id, &tree, source).map(AnswerBody::PutConfiguration))
             }
-            Command::PatchConfiguration { base_version, change_id, digest, patch } => {
-                Some(self.patch_configuration(base_version, &change_id, &digest, &patch).map(AnswerBody::PutConfiguration))
+            Command::PatchConfiguration { base_version, change_id, digest, patch, source } => {
+                Some(self.patch_configuration(base_version, &change_id, &digest, &patch, source).map(AnswerBody::PutConfiguration))
             }
             Command::GatewayAttached { name, instance, zone, http_address } => {
                 self.gateway_attached(name, GatewayRecord { instance, zone, http_address, alive: true });
@@ -93,13 +93,19 @@
                 self.start(term, &starts, gang);
                 None
             }
-            Command::Rules { hold_interval_ms, voters } => {
-                let rules = ClusterRules { voters, ..ClusterRules::new(hold_interval_ms) };
+            Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms } => {
+                let rules = ClusterRules { voters, gang_time_budget_ms: gang_wait_ms, first_class_ms, ..ClusterRules::new(hold_interval_ms) };
                 if rules != self.state.tables.rules {
                     self.emit(Event::RulesChanged { rules });
                 }
                 None
             }
+            Command::Preempt(tasks) => {
+                for t in tasks {
+                    self.stop(t, StopReason::Preempted);
+                }
+                None
+            }
             Command::Advance => None,
             Command::WallClock { wall_ms, log_time_ms } => {
                 self.emit(Event::WallClockAgreed { unix_at_zero_ms: wall_ms.saturating_sub(log_time_ms) });
@@ -123,8 +129,8 @@
     fn advance(&mut self, log_time: Millis) {
         self.state.tables.log_time = self.state.tables.log_time.max(log_time);
         let now = self.now();
-        while let Some(&(_, job)) = self.state.timed.first().filter(|d| d.0 <= now) {
-            self.emit(Event::JobDue { job });
+        while let Some(&(_, job, occurrence)) = self.state.timed.first().filter(|d| d.0 <= now) {
+            self.emit(Event::JobDue { job, occurrence });
         }
         while let Some(&(_, task)) = self.state.unproven.first().filter(|d| d.0 <= now) {
             self.stop(task, StopReason::Unproven);
@@ -132,9 +138,9 @@
         while let Some(&(at, task)) = self.state.checks.first().filter(|d| d.0 <= now) {
             self.check_stall(task, at);
         }
-        while let Some(&(_, job, step)) = self.state.gangs.first().filter(|d| d.0 <= now) {
-            self.emit(Event::GangSettled { job, step });
-            self.break_gang(job, step);
+        while let Some(&(_, step)) = self.state.gangs.first().filter(|d| d.0 <= now) {
+            self.emit(Event::GangSettled { step });
+            self.break_gang(step);
         }
         let most = self.state.tables.rules.finished_jobs_kept as usize;
         while let Some(&(at, job)) = self.state.finished.first() {
@@ -194,13 +200,13 @@
             }
         }
         if gang {
-            let Some(&(t, _)) = good.first() else { return };
-            let s = &self.state.tables.jobs[&t.job].steps[t.step as usize];
+            let Some(step) = good.first().map(|(t, _)| t.step_id()) else { return };
+            let Some(s) = self.state.tables.jobs.get(&step.job).and_then(|j| j.step(step)) else { return };
             if good.len() != starts.len() || s.live > 0 || s.waiting_count() as usize != starts.len() {
                 return;
             }
             let by = at + self.state.tables.rules.gang_time_budget_ms;
-            self.emit(Event::GangOut { job: t.job, step: t.step, by });
+            self.emit(Event::GangOut { step, by });
         }
         for (task, worker) in good {
             self.emit(Event::AttemptIntended { task, worker, at, term });
@@ -210,25 +216,30 @@
     /// The room of a task that may start on a worker now, all rules considered but its room.
     fn may_start(&self, task: TaskId, worker: WorkerIndex) -> Option<Room> {
         let s = &self.state;
-        let j = s.tables.jobs.get(&task.job).filter(|j| j.due && j.ending.is_none())?;
-        let step = j.steps.get(task.step as usize).filter(|st| st.waits_for == 0)?;
+        let j = s.tables.jobs.get(&task.job).filter(|j| j.is_due(task.occurrence) && j.ending.is_none())?;
+        let step = j.step(task.step_id()).filter(|st| st.waits_for == 0)?;
         step.tasks.get(task.index as usize).filter(|t| t.state == TaskState::Waiting)?;
         let spec = j.spec.as_deref()?;
         let w = s.tables.workers.get(&worker)?;
         let st = &spec.steps[task.step as usize];
-        s.worker_allows(w, &spec.queue, &spec.service, &st.kinds).then(|| Room::new(st.cpu_millis, st.memory_mb))
+        let spread = st.most_per_worker == 0 || s.tasks_of_step_on(worker, task.step_id()) < st.most_per_worker;
+        (spread && s.worker_allows(w, &spec.queue, &spec.service, &st.kinds, &st.labels)).then(|| room_of(st))
     }
 
     /// Ends a job: nothing of it starts any more, what is out is stopped.
     pub(crate) fn end_job(&mut self, job: JobNumber, state: JobState) {
         let at = self.now();
         self.emit(Event::JobEnding { job, state, at });
-        let (from, to) = (TaskId { job, step: 0, index: 0 }, TaskId { job, step: u16::MAX, index: u32::MAX });
-        let live: Vec<TaskId> = self.state.tables.attempts.range(from..=to).map(|(t, _)| *t).collect();
+        self.stop_all(TaskId::of_job(job), StopReason::JobEnding);
+        self.settle_job(job);
+    }
+
+    /// Wants all attempts of a range of tasks stopped.
+    fn stop_all(&mut self, tasks: RangeInclusive<TaskId>, reason: StopReason) {
+        let live: Vec<TaskId> = self.state.tables.attempts.range(tasks).map(|(t, _)| *t).collect();
         for t in live {
-            self.stop(t, StopReason::JobEnding);
+            self.stop(t, reason);
         }
-        self.settle_job(job);
     }
 
     /// Looks whether a job is over.
@@ -248,42 +259,50 @@
     }
 
     /// Stops what is out of a gang that can't run whole, so that nobody waits alone.
-    pub(crate) fn break_gang(&mut self, job: JobNumber, step: u16) {
-        let (from, to) = (TaskId { job, step, index: 0 }, TaskId { job, step, index: u32::MAX });
-        let live: Vec<TaskId> = self.state.tables.attempts.range(from..=to).map(|(t, _)| *t).collect();
-        for t in live {
-            self.stop(t, StopReason::GangBroken);
-        }
+    pub(crate) fn break_gang(&mut self, step: StepId) {
+        self.stop_all(step.tasks(), StopReason::GangBroken);
     }
 
     /// An attempt is over: the one place where that is acted on.
     pub(crate) fn attempt_over(&mut self, task: TaskId, how: TaskEvent) {
         let at = self.now();
+        let id = task.step_id();
         let Some(j) = self.state.tables.jobs.get(&task.job) else { return };
         let Some(spec) = j.spec.as_deref() else { return };
+        let Some(s) = j.step(id) else { return };
         let st = &spec.steps[task.step as usize];
-        let (gang, tasks) = (st.gang, st.tasks);
-        let failures = j.steps[task.step as usize].tasks[task.index as usize].failures;
-        let given_up = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures;
-        let was_ending = j.ending.is_some();
+        let (gang, tasks, was_ending) = (st.gang, st.tasks, j.ending.is_some());
+        let lasting = spec.run_until_cancelled;
+        let how = match how {
+            // Whatever has no end of its own is started again however it ends.
+            TaskEvent::Succeeded | TaskEvent::Failed if lasting => TaskEvent::Lost,
+            // One member's good end stands for its whole gang.
+            _ if gang && s.gang_done => TaskEvent::Succeeded,
+            other => other,
+        };
+        let failures = if gang { s.gang_failures } else { s.tasks.get(task.index as usize).map_or(0, |t| t.failures) };
+        let given_up = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures.unwrap_or(0);
         let how = if given_up { TaskEvent::GivenUp } else { how };
+        if gang && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed) && !s.gang_done {
+            self.emit(Event::GangRunOver { step: id, well: how == TaskEvent::Succeeded });
+        }
         self.emit(Event::AttemptOver { task, how, at });
-        let s = &self.state.tables.jobs[&task.job].steps[task.step as usize];
+        let Some(s) = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(id)) else { return };
         let (succeeded, gang_out) = (s.succeeded, s.gang_by.is_some());
         if how == TaskEvent::Succeeded {
             if succeeded == tasks && !was_ending {
                 if gang_out {
-                    self.emit(Event::GangSettled { job: task.job, step: task.step });
+                    self.emit(Event::GangSettled { step: id });
                 }
-                self.emit(Event::StepDone { job: task.job, step: task.step });
+                self.emit(Event::StepDone { step: id });
             }
         } else if given_up && !was_ending {
             self.end_job(task.job, JobState::Failed);
         } else if gang && !was_ending {
             if gang_out {
-                self.emit(Event::GangSettled { job: task.job, step: task.step });
+                self.emit(Event::GangSettled { step: id });
             }
-            self.break_gang(task.job, task.step);
+            self.break_gang(id);
         }
         self.settle_job(task.job);
     }
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -55,9 +55,15 @@
             old = false;
         }
         let at = self.now();
+        for c in &f.checkpoints {
+            self.checkpoint(i, c.attempt, &c.checkpoint);
+        }
         for e in &f.ended {
             self.ended(i, e);
         }
+        if f.gone {
+            return self.worker_is_gone(i);
+        }
         if old {
             // A boot that is over, or not known to follow, can tell of ends; its starts and voids prove nothing.
             return;
@@ -90,7 +96,19 @@
                 self.stop(a.task, StopReason::Missing);
             }
         }
-        let w = &self.state.tables.workers[&i];
+        for &a in &f.lost {
+            if let Some(x) = self.live(i, a) {
+                let how = if x.started.is_some() { TaskEvent::Lost } else { TaskEvent::Voided };
+                self.attempt_over(a.task, how);
+            }
+        }
+        for &a in &f.stalled {
+            let lasting = self.state.tables.jobs.get(&a.task.job).and_then(|j| j.spec.as_ref()).is_none_or(|s| s.run_until_cancelled);
+            if !lasting && self.live(i, a).is_some() {
+                self.stop(a.task, StopReason::Stalled);
+            }
+        }
+        let Some(w) = self.state.tables.workers.get(&i) else { return };
         if let Some(asked) = f.draining.filter(|d| *d != w.drain_asked) {
             let ordered = w.drain_ordered;
             self.emit(Event::WorkerDraining { worker: i, ordered, asked });
@@ -98,12 +116,44 @@
                 self.void_unproven(i, StopReason::Draining);
             }
         }
+        let leased = self.state.tables.workers[&i].told.leased;
         if let Some(reachable) = f.reachable.filter(|r| *r != self.state.tables.workers[&i].reachable) {
             self.emit(Event::WorkerReachable { worker: i, reachable });
-            if !reachable {
+            // A worker with a lease stays with the gateway that knows its lease until that has lapsed.
+            if !reachable && !leased {
                 self.try_another_gateway(i);
             }
         }
+        if f.lapsed {
+            self.lease_lapsed(i);
+        }
+    }
+
+    /// The lease of a worker has lapsed: it runs nothing. Perhaps its gateway alone can't reach it.
+    fn lease_lapsed(&mut self, worker: WorkerIndex) {
+        let w = &self.state.tables.workers[&worker];
+        let (name, leaving) = (w.told.name.clone(), w.leaving);
+        if leaving && self.tasks_on(worker).is_empty() {
+            self.emit(Event::WorkerGone { worker, name });
+        } else {
+            self.try_another_gateway(worker);
+        }
+    }
+
+    /// A life of a worker is over for good, and all that ran in it.
+    fn worker_is_gone(&mut self, worker: WorkerIndex) {
+        for t in self.tasks_on(worker) {
+            self.attempt_over(t, TaskEvent::Lost);
+        }
+        let name = self.state.worker_name(worker);
+        self.emit(Event::WorkerGone { worker, name });
+    }
+
+    /// A checkpoint of a live attempt.
+    fn checkpoint(&mut self, worker: WorkerIndex, a: AttemptId, checkpoint: &str) {
+        if !checkpoint.is_empty() && self.live(worker, a).is_some() {
+            self.emit(Event::CheckpointSeen { task: a.task, checkpoint: checkpoint.to_owned() });
+        }
     }
 
     /// The live attempt of that id on that worker.
@@ -113,16 +163,19 @@
 
     /// Whether an attempt id was given out and is over.
     fn is_over(&self, a: AttemptId) -> bool {
-        a.task.job < self.state.tables.next_job
+        a.task.job < self.state.tables.next_job || self.state.tables.jobs.contains_key(&a.task.job)
     }
 
     /// An attempt ended at a worker.
     fn ended(&mut self, worker: WorkerIndex, e: &EndedAttempt) {
+        if let Some(c) = &e.checkpoint {
+            self.checkpoint(worker, e.attempt, c);
+        }
         if self.live(worker, e.attempt).is_some() {
             let how = match e.outcome {
                 Outcome::Succeeded => TaskEvent::Succeeded,
                 Outcome::Failed => TaskEvent::Failed,
-                Outcome::Stopped => TaskEvent::Stopped,
+                Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => TaskEvent::Stopped,
             };
             if self.state.tables.attempts[&e.attempt.task].started.is_none() && how != TaskEvent::Stopped {
                 let (at, boot_id) = (self.now(), self.state.tables.workers[&worker].told.boot_id.clone());
@@ -136,13 +189,13 @@
 
     /// Looks whether a gang runs whole.
     fn settle_gang(&mut self, task: TaskId) {
-        let Some(s) = self.state.tables.jobs.get(&task.job).and_then(|j| j.steps.get(task.step as usize)) else { return };
+        let step = task.step_id();
+        let Some(s) = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(step)) else { return };
         if s.gang_by.is_none() {
             return;
         }
-        let (from, to) = (TaskId { index: 0, ..task }, TaskId { index: u32::MAX, ..task });
-        if self.state.tables.attempts.range(from..=to).all(|(_, a)| a.started.is_some()) {
-            self.emit(Event::GangSettled { job: task.job, step: task.step });
+        if self.state.tables.attempts.range(step.tasks()).all(|(_, a)| a.started.is_some()) {
+            self.emit(Event::GangSettled { step });
         }
     }
 
@@ -173,10 +226,31 @@
         }
         if d.on {
             self.void_unproven(i, StopReason::Draining);
+            if let Some(leaves_in) = d.leaves_in_ms {
+                self.move_away(i, leaves_in);
+            }
+        }
+        if d.leaves && !self.state.tables.workers[&i].leaving {
+            self.emit(Event::WorkerLeaving { worker: i });
         }
         Ok(WorkerDrained { name: d.name.clone(), draining: d.on, attempts: self.tasks_on(i).len() as u32 })
     }
 
+    /// Stops what would not end before its worker does: it goes on elsewhere.
+    fn move_away(&mut self, worker: WorkerIndex, leaves_in: Millis) {
+        let now = self.now();
+        for t in self.tasks_on(worker) {
+            let Some(spec) = self.state.tables.jobs.get(&t.job).and_then(|j| j.spec.as_deref()) else { continue };
+            let estimate = spec.steps.get(t.step as usize).map_or(0, |s| s.estimate_ms);
+            let lasting = spec.run_until_cancelled;
+            let started = self.state.tables.attempts.get(&t).and_then(|a| a.started.as_ref()).map_or(now, |s| s.0);
+            let left = estimate.saturating_sub(now.saturating_sub(started));
+            if lasting || left > leaves_in {
+                self.stop(t, StopReason::Draining);
+            }
+        }
+    }
+
     /// Forgets a worker.
     pub(crate) fn remove(&mut self, r: &RemoveWorker) -> CallResult<WorkerRemoved> {
         let (i, _) = self.state.worker(&r.name).ok_or_else(|| call_error::not_found("worker", &r.name))?;
@@ -311,12 +385,18 @@
 }
 
 impl ClusterState {
+    /// How many tasks of a step are out at a worker, those being stopped included.
+    pub(crate) fn tasks_of_step_on(&self, worker: WorkerIndex, step: StepId) -> u32 {
+        self.on_worker.get(&worker).map_or(0, |set| set.range(step.tasks()).count() as u32)
+    }
+
     /// Whether a worker may get a task of that queue, service and kinds now, its room, trust and caps aside.
-    pub fn worker_allows(&self, w: &WorkerRecord, queue: &str, service: &str, kinds: &[Name]) -> bool {
+    pub fn worker_allows(&self, w: &WorkerRecord, queue: &str, service: &str, kinds: &[Name], labels: &[Name]) -> bool {
         let held = w.gateway.as_ref().is_some_and(|g| self.tables.gateways.get(g).is_some_and(|g| g.alive));
         let open = held && w.reachable && !w.draining() && !self.tables.evacuated.contains(&w.told.zone);
         open && w.told.service == service
             && (kinds.is_empty() || kinds.contains(&w.told.kind))
+            && labels.iter().all(|l| w.told.labels.contains(l))
             && self.queue_settings(&w.told.zone, queue).is_some_and(|q| {
                 let q = &q.settings;
                 (q.kinds.is_empty() || q.kinds.contains(&w.told.kind)) && (q.services.is_empty() || q.services.iter().any(|s| s == service))
--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -31,6 +31,7 @@
 mod task_state;
 mod view_builder;
 mod worker_health;
+mod worker_pace;
 mod worker_record;
 
 pub use prelude::*;
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -4,14 +4,15 @@
 pub use std::cmp::{Ordering, Reverse};
 pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
 pub use std::fmt;
+pub use std::ops::RangeInclusive;
 pub use std::sync::{Arc, LazyLock};
 
 pub use cluster_messages::prelude::{
-    AnswerBody, AttemptId, BandSummary, CallBody, CallError, CallResult, CancelJob, ClusterStatus, Configuration, ConfigurationAccepted,
+    AnswerBody, AttemptCheckpoint, AttemptId, BandSummary, CallBody, CallError, CallResult, CancelJob, ClusterStatus, Configuration, ConfigurationAccepted,
     ConfigurationChange, ConfigurationHistoryList, ConfigurationUpdate, ControlCall, DrainWorker, EffectiveSettings, EffectiveValue,
     EndedAttempt, EvacuateZone, Fault, GatewayFrame, GatewaySummary, GetEffectiveSettings, JobAccepted, JobCancelled, JobChange,
     JobExplanation, JobList, JobNumber, JobSpec, JobState, JobStatus, JobSummary, ListJobs, ListWorkers, MemberChanged, MemberList,
-    MemberSummary, Millis, Name, Outcome, Payload, PutConfiguration, QueueList, QueueUse, RegisterWorker, RemoveWorker, SchedulerFrame,
+    MemberSummary, Millis, Name, Outcome, Payload, PutConfiguration, StepId, QueueList, QueueUse, RegisterWorker, RemoveWorker, SchedulerFrame,
     StartOrder, StepSpec, StepStatus, StopOrder, TaskCounts, TaskId, ViewUpdate, WIRE_VERSION, WireError, WireMessage, WorkerDrained,
     WorkerFacts, WorkerList, WorkerRegistered, WorkerRemoved, WorkerSummary, ZoneEvacuated,
 };
@@ -37,19 +38,20 @@
 pub use crate::call_decision::CallDecision;
 pub use crate::call_error;
 pub use crate::cluster_rules::ClusterRules;
+pub(crate) use crate::cluster_state::room_of;
 pub use crate::cluster_state::{Bands, ClusterState, StateError, Use};
 pub use crate::command::{Command, CommandBatch};
 pub use crate::event::Event;
 pub use crate::gateway_session::GatewaySession;
 pub use crate::halt_reason::HaltReason;
-pub use crate::job::{Job, Step, Task, job_digest};
+pub use crate::job::{Job, Occurrence, Step, Task, job_digest};
 pub use crate::journal::Journal;
 pub use crate::ledger::{Answer, Ledger};
 pub use crate::peer_frame::PeerFrame;
 pub(crate) use crate::queries::patch_of;
-pub use crate::ready_index::{ReadyGroup, ReadyIndex};
+pub use crate::ready_index::{ReadyGroup, ReadyIndex, ReadyStep};
 pub use crate::scheduler::{Scheduler, SchedulerCounters, Waiter};
-pub use crate::scheduler_input::{ChannelId, SchedulerEffect, SchedulerInput};
+pub use crate::scheduler_input::{ChannelId, OWN_PROCESS, SchedulerEffect, SchedulerInput};
 pub use crate::scheduler_members::PeerMember;
 pub use crate::scheduler_settings::SchedulerSettings;
 pub use crate::start_planner::{PlannedStarts, StartPlanner};
@@ -57,4 +59,5 @@
 pub use crate::tables::Tables;
 pub use crate::task_state::{TaskEvent, TaskState, task_chart};
 pub use crate::worker_health::WorkerHealth;
+pub use crate::worker_pace::WorkerPace;
 pub use crate::worker_record::{GatewayRecord, WorkerRecord};
--- a/crates/scheduler-core/src/queries.rs
+++ b/crates/scheduler-core/src/queries.rs
@@ -10,7 +10,8 @@
     pub fn get_job(&self, name: &str) -> CallResult<JobStatus> {
         let j = self.job(name).ok_or_else(|| call_error::not_found("job", name))?;
         let mut steps = Vec::new();
-        for (s, st) in j.steps.iter().zip(j.spec.iter().flat_map(|s| &s.steps)) {
+        let shown = j.step_ids().zip(&j.steps).filter_map(|(id, s)| Some((s, j.spec.as_deref()?.steps.get(id.step as usize)?)));
+        for (s, st) in shown {
             let mut tasks = TaskCounts::default();
             for t in &s.tasks {
                 let n = match t.state {
@@ -30,8 +31,7 @@
             let waits_for = if s.waits_for > 0 { st.after.clone() } else { Vec::new() };
             steps.push(StepStatus { name: st.name.clone(), waits_for, tasks });
         }
-        let (from, to) = (TaskId { job: j.number, step: 0, index: 0 }, TaskId { job: j.number, step: u16::MAX, index: u32::MAX });
-        let out = self.tables.attempts.range(from..=to).take(ATTEMPTS_SHOWN);
+        let out = self.tables.attempts.range(TaskId::of_job(j.number)).take(ATTEMPTS_SHOWN);
         let attempts = out.map(|(t, a)| (AttemptId { task: *t, number: a.number }, self.worker_name(a.worker))).collect();
         Ok(JobStatus { summary: j.summary.clone(), steps, attempts })
     }
@@ -79,6 +79,7 @@
             reachable: w.reachable,
             shun_level: w.health.level,
             band: band.map(band_summary).unwrap_or_default(),
+            leased: t.leased,
         })
     }
 
@@ -115,7 +116,7 @@
     /// The tree in force.
     pub fn get_configuration(&self) -> Configuration {
         let c = &self.configuration;
-        Configuration { version: c.version(), digest: c.digest().to_string(), tree: Payload(c.tree().to_value()) }
+        Configuration { version: c.version(), digest: c.digest().to_string(), tree: Payload(c.tree().to_value()), source: self.tables.configuration_source.clone() }
     }
 
     /// The newest changes, the newest first.
--- a/crates/scheduler-core/src/ready_index.rs
+++ b/crates/scheduler-core/src/ready_index.rs
@@ -15,17 +15,28 @@
     pub room: Room,
     /// Members that must start together; 0: each alone.
     pub gang: u32,
+    /// Whether these members run faster within one rack.
+    pub same_rack: bool,
+    /// Labels asked for.
+    pub labels: Vec<Name>,
+    /// The rack that holds the data.
+    pub near_rack: Option<Name>,
+    /// Most tasks of a step on one worker, with the step that this counts for.
+    pub spread: Option<(u32, StepId)>,
 }
 
+/// A step among those with tasks to start: when it fell due, and which.
+pub type ReadyStep = (Millis, StepId);
+
 /// The steps that have tasks to start, grouped.
 #[derive(Clone, Debug, Default)]
 pub struct ReadyIndex {
-    groups: BTreeMap<ReadyGroup, BTreeSet<(Millis, JobNumber, u16)>>,
+    groups: BTreeMap<ReadyGroup, BTreeSet<ReadyStep>>,
 }
 
 impl ReadyIndex {
     /// Puts a step in, or takes it out.
-    pub fn set(&mut self, group: ReadyGroup, at: (Millis, JobNumber, u16), ready: bool) {
+    pub fn set(&mut self, group: ReadyGroup, at: ReadyStep, ready: bool) {
         if ready {
             self.groups.entry(group).or_default().insert(at);
         } else if let Some(s) = self.groups.get_mut(&group) {
@@ -37,7 +48,7 @@
     }
 
     /// All groups with their steps, the step due first in front.
-    pub fn groups(&self) -> impl Iterator<Item = (&ReadyGroup, &BTreeSet<(Millis, JobNumber, u16)>)> {
+    pub fn groups(&self) -> impl Iterator<Item = (&ReadyGroup, &BTreeSet<ReadyStep>)> {
         self.groups.iter()
     }
 
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -150,6 +150,7 @@
             SchedulerInput::Peer(b) => self.peer(now, &b),
             SchedulerInput::Persisted(ticket) => self.drive(now, Input::Persisted { ticket }),
             SchedulerInput::GatewayUp(_) => {}
+            SchedulerInput::Call { call, time_budget_ms, body } => self.call(now, call, time_budget_ms, *body),
             SchedulerInput::Leave => self.leave(now),
             SchedulerInput::Gateway(c, f) => self.gateway(now, c, f),
             SchedulerInput::GatewayDown(c) => {
@@ -268,7 +269,10 @@
     pub(crate) fn answer(&mut self, w: (ChannelId, u64), result: CallResult<AnswerBody>) {
         self.counters.answers += 1;
         self.counters.shed += u64::from(matches!(result, Err(CallError::Shed { .. })));
-        self.send_gateway(w.0, SchedulerFrame::Answer { request: w.1, result });
+        match w {
+            (OWN_PROCESS, call) => self.effects.push(SchedulerEffect::Answer { call, result: Box::new(result) }),
+            (channel, request) => self.send_gateway(channel, SchedulerFrame::Answer { request, result }),
+        }
     }
 
     /// A batch did not get into the log: whoever waits may come back.
@@ -293,8 +297,7 @@
 
     fn lost_leadership(&mut self) {
         self.leading = None;
-        self.flights.clear();
-        self.inbox.clear();
+        self.end_own_calls();
         let frame = self.not_leader();
         for (c, _) in std::mem::take(&mut self.sessions) {
             self.send_gateway(c, frame.clone());
@@ -302,6 +305,37 @@
         self.effects.push(SchedulerEffect::Leading(None));
     }
 
+    /// Calls that came in here wait for nothing any more: what is in the log may yet be done, what isn't never will.
+    fn end_own_calls(&mut self) {
+        let hint = self.settings.log.election_timeout_ms;
+        let own = |w: &Waiter| w.filter(|w| w.0 == OWN_PROCESS);
+        let flights = std::mem::take(&mut self.flights);
+        for w in flights.values().flat_map(|f| &f.waiters).filter_map(own) {
+            self.answer(w, Err(CallError::TimeBudgetSpent { retry_after_ms: hint }));
+        }
+        let inbox = std::mem::take(&mut self.inbox);
+        for w in inbox.iter().filter_map(|i| own(&i.1)) {
+            self.answer(w, Err(CallError::NoLeader { retry_after_ms: hint }));
+        }
+    }
+
+    /// A call that came in at this process itself.
+    fn call(&mut self, now: Millis, call: u64, time_budget_ms: Millis, body: CallBody) {
+        let waiter = (OWN_PROCESS, call);
+        match self.is_serving(now) {
+            true => self.ask(now, waiter, now + time_budget_ms, body),
+            false => self.answer(waiter, Err(CallError::NoLeader { retry_after_ms: self.settings.log.election_timeout_ms })),
+        }
+    }
+
+    /// Where the elected scheduler is reached, as far as this one knows; its own address when it serves.
+    pub fn leader_address(&self, now: Millis) -> Option<String> {
+        match self.is_serving(now) {
+            true => Some(self.settings.address.clone()),
+            false => self.replica.leader_hint().filter(|l| *l != self.replica.id()).and_then(|l| self.address_of(l)),
+        }
+    }
+
     /// Who leads, as far as this one knows.
     fn not_leader(&self) -> SchedulerFrame {
         let leader = self.replica.leader_hint().filter(|l| *l != self.replica.id()).and_then(|l| self.address_of(l));
@@ -444,7 +478,7 @@
     /// back, but only those of all voters move it ahead, so that clocks that jumped move no job early even after their
     /// machines' restarts.
     fn agreed_wall(&mut self, now: Millis, body: &CallBody) -> Option<Millis> {
-        if !matches!(body, CallBody::SubmitJob(c) if c.spec.not_before_unix_ms.is_some()) {
+        if !matches!(body, CallBody::SubmitJob(c) if c.spec.not_before_unix_ms.is_some() || c.spec.repeat.is_some()) {
             return None;
         }
         let quorum = self.replica.wall_clock_floor(now)?;
@@ -463,7 +497,7 @@
         if !self.is_serving(now) {
             return;
         }
-        self.put_rules();
+        self.put_rules(0);
         let silent: Vec<(Name, u64)> = self
             .heard
             .iter()
@@ -482,13 +516,16 @@
 
     /// Puts the rules of this leader's settings in the log, when they are others. A scheduler without a word on how many
     /// should vote leaves that as it is.
-    fn put_rules(&mut self) {
+    pub(crate) fn put_rules(&mut self, more_voters: u64) {
         let rules = &self.ledger.state.tables.rules;
         let hold_interval_ms = self.settings.hold_interval_ms;
-        let voters = self.settings.stated_voters().unwrap_or(rules.voters);
-        let known = (rules.hold_interval_ms, rules.voters) == (hold_interval_ms, voters);
+        let stated = self.settings.stated_voters().filter(|_| rules.voters == 0 || self.settings.most_voters == 0);
+        let voters = stated.unwrap_or(rules.voters) + more_voters;
+        let (gang_wait_ms, first_class_ms) = (self.settings.gang_wait_ms, self.settings.first_class_ms);
+        let told = (rules.hold_interval_ms, rules.voters, rules.gang_time_budget_ms, rules.first_class_ms);
+        let known = told == (hold_interval_ms, voters, gang_wait_ms, first_class_ms);
         if !known && self.flights.is_empty() && self.inbox.is_empty() {
-            self.propose(Command::Rules { hold_interval_ms, voters }, None, Millis::MAX);
+            self.propose(Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms }, None, Millis::MAX);
         }
     }
 
--- a/crates/scheduler-core/src/scheduler_input.rs
+++ b/crates/scheduler-core/src/scheduler_input.rs
@@ -1,8 +1,11 @@
 use crate::prelude::*;
 
-/// A channel to a gateway, numbered by the executor.
+/// A channel to a gateway, numbered by the executor from 1.
 pub type ChannelId = u64;
 
+/// Stands for the process itself where a call's channel is named.
+pub const OWN_PROCESS: ChannelId = 0;
+
 /// What happens to a scheduler.
 #[derive(Clone, Debug)]
 pub enum SchedulerInput {
@@ -21,6 +24,15 @@
     GatewayDown(ChannelId),
     /// All writes up to this ticket are synced.
     Persisted(u64),
+    /// A call that came in at this process itself, to be answered by one `Answer`.
+    Call {
+        /// The executor's number for it, never used again.
+        call: u64,
+        /// What is left of the caller's time.
+        time_budget_ms: Millis,
+        /// The call.
+        body: Box<CallBody>,
+    },
     /// The process is about to end: whoever leads hands over.
     Leave,
 }
@@ -39,6 +51,13 @@
     },
     /// Send to a gateway.
     Gateway(ChannelId, Box<SchedulerFrame>),
+    /// Answer a call that came in at this process, for good.
+    Answer {
+        /// Its number.
+        call: u64,
+        /// The answer.
+        result: Box<CallResult<AnswerBody>>,
+    },
     /// Its state can't be carried on: the process has to end.
     Halt(Arc<HaltReason>),
     /// Leadership won or lost, for the log lines.
--- a/crates/scheduler-core/src/scheduler_members.rs
+++ b/crates/scheduler-core/src/scheduler_members.rs
@@ -17,6 +17,8 @@
 
 /// Greetings, in election timeouts.
 const GREET_TIMEOUTS: u64 = 1;
+/// Voters that are added together, so that their number stays odd.
+const VOTERS_MORE: u64 = 2;
 /// A peer that greeted longer ago than this many election timeouts isn't counted on.
 const FRESH_TIMEOUTS: u64 = 3;
 
@@ -127,33 +129,54 @@
             return;
         }
         self.repaired_at = now;
+        if self.may_grow(now) {
+            self.put_rules(VOTERS_MORE);
+            return;
+        }
         if let Some(change) = self.next_repair(now) {
             self.counters.repairs += 1;
             self.drive(now, Input::ProposeMembership { token: 0, change });
         }
     }
 
+    /// Whether all voters are there, and spares for two more.
+    fn may_grow(&self, now: Millis) -> bool {
+        let m = self.replica.membership();
+        let wanted = self.ledger.state.tables.rules.voters;
+        let spares = m.learners.keys().filter(|id| self.caught_up(**id, now)).count() as u64;
+        let whole = m.voters.len() as u64 == wanted && m.voters.keys().all(|id| self.silent_ms(*id, now) < self.settings.member_silence_ms);
+        whole && spares >= VOTERS_MORE && wanted + VOTERS_MORE <= self.settings.most_voters
+    }
+
+    /// How long a member has been silent.
+    fn silent_ms(&self, id: u64, now: Millis) -> Millis {
+        if id == self.replica.id() {
+            return 0;
+        }
+        let heard = self.replica.progress_of(id).and_then(|p| p.acked_sent_at);
+        now.saturating_sub(heard.unwrap_or(self.led_since))
+    }
+
+    /// Whether a member has nearly the whole log and was heard of late.
+    fn caught_up(&self, id: u64, now: Millis) -> bool {
+        let fresh = FRESH_TIMEOUTS * self.settings.log.election_timeout_ms;
+        let p = self.replica.progress_of(id);
+        let near = p.is_some_and(|p| p.match_index + self.settings.log.caught_up_entries >= self.replica.last_index());
+        near && self.silent_ms(id, now) < fresh
+    }
+
     /// The next change that repair wants.
     fn next_repair(&self, now: Millis) -> Option<MembershipChange> {
         let m = self.replica.membership();
         let fresh = FRESH_TIMEOUTS * self.settings.log.election_timeout_ms;
         let own = self.replica.id();
-        let silent = |id: u64| -> Millis {
-            if id == own {
-                return 0;
-            }
-            let heard = self.replica.progress_of(id).and_then(|p| p.acked_sent_at);
-            now.saturating_sub(heard.unwrap_or(self.repair_since()))
-        };
+        let silent = |id: u64| self.silent_ms(id, now);
         // Who stands at an address that another, newer member stands at too: its disk is gone.
         let replaced = |id: u64, endpoint: &str| {
             let newer = |(i, a): (u64, &MemberAddress)| i != id && a.endpoint == endpoint && silent(i) < silent(id);
             m.members().any(newer)
         };
-        let caught_up = |id: u64| {
-            let p = self.replica.progress_of(id);
-            p.is_some_and(|p| p.match_index + self.settings.log.caught_up_entries >= self.replica.last_index()) && silent(id) < fresh
-        };
+
         // By the log, not by this one's settings: a newcomer that leads may not know how many there should be.
         let wanted = match self.ledger.state.tables.rules.voters {
             0 => m.voters.len(),
@@ -172,7 +195,7 @@
             .filter(|(id, a)| **id != own && (replaced(**id, &a.endpoint) || silent(**id) > self.settings.member_silence_ms))
             .map(|(id, _)| *id)
             .collect();
-        let ready = m.learners.keys().copied().find(|id| caught_up(*id));
+        let ready = m.learners.keys().copied().find(|id| self.caught_up(*id, now));
         // More voters before fewer: at no time is there one copy less than there could be.
         if let Some(id) = ready.filter(|_| m.voters.len() - gone.len() < wanted) {
             return Some(MembershipChange::Promote { id });
@@ -184,10 +207,6 @@
         lost.map(|(id, _)| MembershipChange::Remove { id: *id })
     }
 
-    /// Since when this leader could have heard a member.
-    fn repair_since(&self) -> Millis {
-        self.led_since
-    }
 
     /// An operator's change of the members.
     pub(crate) fn change_member(&mut self, now: Millis, w: (ChannelId, u64), id: u64, change: MembershipChange) {
--- a/crates/scheduler-core/src/scheduler_settings.rs
+++ b/crates/scheduler-core/src/scheduler_settings.rs
@@ -15,10 +15,16 @@
     pub founders: Vec<String>,
     /// How many voters the cluster wants.
     pub voters: usize,
+    /// Up to how many voters the cluster takes when spares are at hand; 0: never more than it wants.
+    pub most_voters: u64,
     /// How long a gateway may be silent before its share goes to others.
     pub gateway_silence_ms: Millis,
     /// How often a worker is heard of at least.
     pub hold_interval_ms: Millis,
+    /// How long after their intent all members of a gang must run.
+    pub gang_wait_ms: Millis,
+    /// Upper bound of the first placement class.
+    pub first_class_ms: Millis,
     /// How long a voter may be silent before a spare that has caught up takes its place.
     pub member_silence_ms: Millis,
     /// Bounds of the log.
@@ -45,8 +51,11 @@
             seeds: Vec::new(),
             founders: Vec::new(),
             voters: 0,
+            most_voters: 0,
             gateway_silence_ms: GATEWAY_SILENCE_TIMEOUTS * election_timeout_ms,
             hold_interval_ms: election_timeout_ms,
+            gang_wait_ms: ClusterRules::new(election_timeout_ms).gang_time_budget_ms,
+            first_class_ms: ClusterRules::new(election_timeout_ms).first_class_ms,
             member_silence_ms: MEMBER_SILENCE_TIMEOUTS * election_timeout_ms,
             log,
         }
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -4,7 +4,7 @@
 pub type PlannedStarts = (Vec<(TaskId, WorkerIndex)>, bool);
 
 /// A group of alike tasks with its steps, the step due first in front.
-type GroupSteps<'a> = (&'a ReadyGroup, Vec<(Millis, JobNumber, u16)>);
+type GroupSteps<'a> = (&'a ReadyGroup, Vec<ReadyStep>);
 
 /// Works out which waiting tasks start where, from the committed state as it is: nothing is changed here.
 ///
@@ -20,6 +20,8 @@
     used: BTreeMap<(Name, Name), Use>,
     /// Room given in this round, by zone.
     zones: BTreeMap<Name, Room>,
+    /// Tasks of steps with a limit given in this round, by worker.
+    spread: BTreeMap<(WorkerIndex, StepId), u32>,
     /// Use of each queue over all zones, as a ratio to the fleet and its share.
     weights: BTreeMap<Name, f64>,
     fleet: Room,
@@ -27,6 +29,11 @@
     count: usize,
 }
 
+/// A worker whose tasks take longer than this against their like counts as slow.
+const SLOW_RATIO: f64 = 1.6;
+/// Urgent tasks go first to workers whose tasks take no longer than this against their like.
+const FAST_RATIO: f64 = 1.08;
+
 impl<'a> StartPlanner<'a> {
     /// A planner over a state.
     pub fn new(state: &'a ClusterState, now: Millis, most: usize) -> Self {
@@ -38,6 +45,7 @@
             given: BTreeMap::new(),
             used: BTreeMap::new(),
             zones: BTreeMap::new(),
+            spread: BTreeMap::new(),
             weights: BTreeMap::new(),
             fleet,
             plans: Vec::new(),
@@ -69,7 +77,7 @@
             steps.reverse();
         }
         while self.count < self.most {
-            let rank = |g: &ReadyGroup, s: &[(Millis, JobNumber, u16)], p: &Self| (p.weights.get(&g.queue).copied(), s.last().map(|s| s.0));
+            let rank = |g: &ReadyGroup, s: &[ReadyStep], p: &Self| (p.weights.get(&g.queue).copied(), s.last().map(|s| s.0));
             for (g, _) in &left {
                 if !self.weights.contains_key(&g.queue) {
                     let w = self.weight(&g.queue);
@@ -81,11 +89,11 @@
                 x.0.partial_cmp(&y.0).unwrap_or(Ordering::Equal).then(x.1.cmp(&y.1))
             });
             let Some(i) = best else { return };
-            let Some((_, job, step)) = left[i].1.pop() else {
+            let Some((_, step)) = left[i].1.pop() else {
                 left.swap_remove(i);
                 continue;
             };
-            if !self.plan_step(urgency, left[i].0, job, step) {
+            if !self.plan_step(urgency, left[i].0, step) {
                 left.swap_remove(i);
                 continue;
             }
@@ -112,22 +120,23 @@
     }
 
     /// Plans the waiting tasks of one step; false when its group fits nowhere now.
-    fn plan_step(&mut self, urgency: u8, g: &ReadyGroup, job: JobNumber, step: u16) -> bool {
-        let Some(j) = self.state.tables.jobs.get(&job) else { return true };
-        let (Some(spec), Some(s)) = (j.spec.as_deref(), j.steps.get(step as usize)) else { return true };
-        let task = |index: u32| TaskId { job, step, index };
+    fn plan_step(&mut self, urgency: u8, g: &ReadyGroup, id: StepId) -> bool {
+        let Some(j) = self.state.tables.jobs.get(&id.job) else { return true };
+        let (Some(spec), Some(s)) = (j.spec.as_deref(), j.step(id)) else { return true };
+        let allowed = self.allowed(g);
+        let placement = StepPlacement { urgency, group: g, id, spec, step: s, allowed: &allowed };
         if g.gang > 0 {
             let members: Vec<u32> = s.waiting().collect();
-            let Some(places) = self.places(urgency, g, spec, step, &members, s) else { return false };
+            let Some(places) = self.gang_places(&placement, &members) else { return false };
             self.count += members.len();
-            self.plans.push((members.iter().map(|m| task(*m)).zip(places).collect(), true));
+            self.plans.push((members.iter().map(|m| id.task(*m)).zip(places).collect(), true));
             return true;
         }
         let mut starts = Vec::new();
         let mut fits = true;
         for index in s.waiting().take(self.most - self.count) {
-            match self.places(urgency, g, spec, step, &[index], s) {
-                Some(p) => starts.extend(p.into_iter().map(|w| (task(index), w))),
+            match self.places(&placement, &[index], &|_| true) {
+                Some(p) => starts.extend(p.into_iter().map(|w| (id.task(index), w))),
                 None => {
                     // A task that shuns the worker it failed on says nothing of its group.
                     fits = s.tasks[index as usize].avoid.is_some();
@@ -142,36 +151,46 @@
         fits
     }
 
+    /// Workers that a group may use, room and trust aside.
+    fn allowed(&self, g: &ReadyGroup) -> BTreeMap<WorkerIndex, &'a WorkerRecord> {
+        let s = self.state;
+        let may = |w: &WorkerRecord| s.worker_allows(w, &g.queue, &g.service, &g.kinds, &g.labels);
+        s.tables.workers.iter().filter(|(_, w)| may(w)).map(|(i, w)| (*i, w)).collect()
+    }
+
+    /// Workers for a whole gang: within one rack where that is faster and possible.
+    fn gang_places(&mut self, p: &StepPlacement<'_>, members: &[u32]) -> Option<Vec<WorkerIndex>> {
+        if p.group.same_rack {
+            let racks: BTreeSet<&Name> = p.allowed.values().map(|w| &w.told.rack).collect();
+            for rack in racks {
+                let found = self.places(p, members, &|w| w.told.rack == *rack);
+                if found.is_some() {
+                    return found;
+                }
+            }
+        }
+        self.places(p, members, &|_| true)
+    }
+
     /// Workers for all of `members`, or none; what they take is counted as given.
-    fn places(&mut self, urgency: u8, g: &ReadyGroup, spec: &JobSpec, step: u16, members: &[u32], s: &Step) -> Option<Vec<WorkerIndex>> {
-        let base = self.state.task_to_place(spec, step, 0);
+    fn places(&mut self, p: &StepPlacement<'_>, members: &[u32], within: &dyn Fn(&WorkerRecord) -> bool) -> Option<Vec<WorkerIndex>> {
+        let g = p.group;
         let mut found: Vec<WorkerIndex> = Vec::with_capacity(members.len());
-        let zones = self.zone_allowance(urgency, g);
+        let zones = self.zone_allowance(p.urgency, g);
         let mut taken: BTreeMap<Name, u64> = BTreeMap::new();
         for &m in members {
-            let avoid = s.tasks[m as usize].avoid;
-            let fits = |p: &Self, w: WorkerIndex, avoid: Option<WorkerIndex>| {
-                let Some(r) = p.state.tables.workers.get(&w) else { return false };
-                let live = p.state.on_worker.get(&w).map_or(0, BTreeSet::len) + usize::from(p.given.contains_key(&w));
-                Some(w) != avoid
-                    && r.health.may_try(p.now, live)
-                    && taken.get(&r.told.zone).copied().unwrap_or(0) < zones.get(&r.told.zone).copied().unwrap_or(0)
-                    && g.room.add(p.given.get(&w).copied().unwrap_or_default()).fits(r.room().sub(r.used))
-                    && p.state.worker_allows(r, &g.queue, &g.service, &g.kinds)
-            };
-            let w = self
-                .state
-                .bands
-                .assign(self.now, &base, |w| fits(self, w, avoid))
-                .or_else(|| avoid.and_then(|_| self.state.bands.assign(self.now, &base, |w| fits(self, w, None))));
-            let Some(w) = w else {
-                self.give_back(g, &found);
+            let avoid = p.step.tasks[m as usize].avoid;
+            let Some(w) = self.best_worker(p, avoid, &zones, &taken, within) else {
+                self.give_back(p, &found);
                 return None;
             };
             let zone = self.state.tables.workers[&w].told.zone.clone();
             *taken.entry(zone.clone()).or_default() += 1;
             let r = self.given.entry(w).or_default();
             *r = r.add(g.room);
+            if g.spread.is_some() {
+                *self.spread.entry((w, p.id)).or_default() += 1;
+            }
             let z = self.zones.entry(zone.clone()).or_default();
             *z = z.add(g.room);
             let u = self.used.entry((zone, g.queue.clone())).or_default();
@@ -181,8 +200,52 @@
         Some(found)
     }
 
+    /// The best worker for one task: near its data before far, sound before slow, as the bands rank them within each.
+    fn best_worker(
+        &self,
+        p: &StepPlacement<'_>,
+        avoid: Option<WorkerIndex>,
+        zones: &BTreeMap<Name, u64>,
+        taken: &BTreeMap<Name, u64>,
+        within: &dyn Fn(&WorkerRecord) -> bool,
+    ) -> Option<WorkerIndex> {
+        let g = p.group;
+        let base = self.state.task_to_place(p.spec, p.id.step, 0);
+        let fits = |w: WorkerIndex, r: &WorkerRecord| {
+            let live = self.state.on_worker.get(&w).map_or(0, BTreeSet::len) + usize::from(self.given.contains_key(&w));
+            let in_zone = taken.get(&r.told.zone).copied().unwrap_or(0) < zones.get(&r.told.zone).copied().unwrap_or(0);
+            let free = r.room().sub(r.used);
+            in_zone
+                && r.health.may_try(self.now, live)
+                && g.room.add(self.given.get(&w).copied().unwrap_or_default()).fits(free)
+                && g.spread.is_none_or(|(most, id)| self.of_step(w, id) < most)
+                && within(r)
+        };
+        let able: BTreeMap<WorkerIndex, &WorkerRecord> = p.allowed.iter().filter(|(i, w)| fits(**i, w)).map(|(i, w)| (*i, *w)).collect();
+        if able.is_empty() {
+            return None;
+        }
+        let near = |w: &WorkerRecord| g.near_rack.as_ref().is_none_or(|r| *r == w.told.rack);
+        let urgent = p.urgency >= self.state.tables.rules.urgent_from;
+        let fast = |w: &WorkerRecord| !urgent || w.pace.ratio <= FAST_RATIO;
+        let sound = |w: &WorkerRecord| w.pace.ratio <= SLOW_RATIO;
+        let tiers: [&dyn Fn(&WorkerRecord) -> bool; 5] =
+            [&|w| near(w) && fast(w) && sound(w), &|w| near(w) && sound(w), &|w| fast(w) && sound(w), &|w| sound(w), &|_| true];
+        let pick = |tier: &dyn Fn(&WorkerRecord) -> bool, avoid: Option<WorkerIndex>| {
+            self.state.bands.assign(self.now, &base, |w| Some(w) != avoid && able.get(&w).is_some_and(|r| tier(r)))
+        };
+        let first = tiers.iter().find_map(|t| pick(*t, avoid));
+        first.or_else(|| avoid.and_then(|_| pick(&|_| true, None)))
+    }
+
+    /// Tasks of a step on a worker, those given in this round included.
+    fn of_step(&self, worker: WorkerIndex, id: StepId) -> u32 {
+        self.state.tasks_of_step_on(worker, id) + self.spread.get(&(worker, id)).copied().unwrap_or(0)
+    }
+
     /// Takes back what a gang was given that finds no whole place.
-    fn give_back(&mut self, g: &ReadyGroup, found: &[WorkerIndex]) {
+    fn give_back(&mut self, p: &StepPlacement<'_>, found: &[WorkerIndex]) {
+        let g = p.group;
         for w in found {
             let zone = self.state.tables.workers[w].told.zone.clone();
             if let Some(r) = self.given.get_mut(w) {
@@ -191,6 +254,9 @@
                     self.given.remove(w);
                 }
             }
+            if let Some(n) = self.spread.get_mut(&(*w, p.id)) {
+                *n -= 1;
+            }
             if let Some(z) = self.zones.get_mut(&zone) {
                 *z = z.sub(g.room);
             }
@@ -224,11 +290,8 @@
             );
             n = n.min(times(cap.sub(mine)));
             if urgency < self.state.tables.rules.urgent_from {
-                let reserve = self
-                    .state
-                    .effective
-                    .zone(zone)
-                    .map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
+                let reserve =
+                    self.state.effective.zone(zone).map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
                 let all = used.add(self.zones.get(zone).copied().unwrap_or_default());
                 n = n.min(times(ratio(*room, 1.0 - reserve).sub(all)));
             }
@@ -237,3 +300,13 @@
         v
     }
 }
+
+/// A step whose tasks are to be placed, and what limits that.
+struct StepPlacement<'p> {
+    urgency: u8,
+    group: &'p ReadyGroup,
+    id: StepId,
+    spec: &'p JobSpec,
+    step: &'p Step,
+    allowed: &'p BTreeMap<WorkerIndex, &'p WorkerRecord>,
+}
--- a/crates/scheduler-core/src/tables.rs
+++ b/crates/scheduler-core/src/tables.rs
@@ -57,6 +57,9 @@
     /// Unix time at cluster time 0, as last agreed.
     #[n(15)]
     pub unix_at_zero_ms: Option<Millis>,
+    /// The operator's text beside the configuration in force.
+    #[n(18)]
+    pub configuration_source: Option<String>,
 }
 
 impl Tables {
@@ -81,6 +84,7 @@
             stalled_at: 0,
             fleet_health: (0.0, 0.0),
             unix_at_zero_ms: None,
+            configuration_source: None,
         }
     }
 }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -43,8 +43,7 @@
                 | Event::RulesChanged { .. }
                 | Event::JobDue { .. }
                 | Event::AttemptChecked { .. }
-                | Event::GangOut { .. }
-                | Event::StepDone { .. } => {}
+                | Event::GangOut { .. } | Event::GangRunOver { .. } | Event::CheckpointSeen { .. } | Event::WorkerLeaving { .. } | Event::StepDone { .. } => {}
                 Event::JobEnding { job, .. } | Event::JobOver { job, .. } => {
                     jobs.insert(*job);
                 }
@@ -64,9 +63,9 @@
                 Event::StopWanted { task, .. } => {
                     stops.insert(*task);
                 }
-                Event::GangSettled { job, step } => {
-                    if s.holds_of(gateway, *job, *step) {
-                        u.gangs_settled.push((*job, *step));
+                Event::GangSettled { step } => {
+                    if s.holds_of(gateway, *step) {
+                        u.gangs_settled.push(*step);
                     }
                 }
                 Event::WorkerKnown { worker, .. }
@@ -94,7 +93,7 @@
         let mine = |w: WorkerIndex| s.tables.workers.get(&w).is_some_and(|w| w.gateway.as_deref() == Some(gateway));
         u.stops = stops.iter().filter_map(|t| self.stop_order(*t).filter(|o| mine(o.0))).map(|o| o.1).collect();
         let orphans = orphans.into_iter().filter(|(w, a)| mine(*w) && s.tables.orphans.contains(&(*w, *a)));
-        u.stops.extend(orphans.map(|(w, attempt)| StopOrder { attempt, worker: s.worker_name(w) }));
+        u.stops.extend(orphans.map(|(w, attempt)| StopOrder { attempt, worker: s.worker_name(w), term: 0 }));
         for w in workers {
             self.add_worker(&mut u, gateway, w);
         }
@@ -114,12 +113,12 @@
                     u.held.push((line.name.clone(), attempt));
                 }
                 if a.stop.is_some() {
-                    u.stops.push(StopOrder { attempt, worker: line.name.clone() });
+                    u.stops.push(StopOrder { attempt, worker: line.name.clone(), term: 0 });
                 }
             }
-            let from = (w, AttemptId { task: TaskId { job: 0, step: 0, index: 0 }, number: 0 });
+            let from = (w, *AttemptId::of_job(0).start());
             for (_, attempt) in s.tables.orphans.range(from..).take_while(|o| o.0 == w) {
-                u.stops.push(StopOrder { attempt: *attempt, worker: line.name.clone() });
+                u.stops.push(StopOrder { attempt: *attempt, worker: line.name.clone(), term: 0 });
             }
         }
         u.workers.push(line);
@@ -133,9 +132,13 @@
             return None;
         }
         let spec = s.tables.jobs.get(&t.job)?.spec.as_deref()?;
-        let st = &spec.steps[t.step as usize];
+        let st = spec.steps.get(t.step as usize)?;
+        let step = s.tables.jobs.get(&t.job)?.step(t.step_id())?;
         Some(StartOrder {
-            gang_by_ms: s.tables.jobs.get(&t.job)?.steps.get(t.step as usize)?.gang_by,
+            gang_by_ms: step.gang_by,
+            checkpoint: step.tasks.get(t.index as usize)?.checkpoint.clone(),
+            lease_until_ms: None,
+            estimate_ms: st.estimate_ms,
             attempt: AttemptId { task: t, number: a.number },
             term: a.term,
             worker: s.worker_name(a.worker),
@@ -144,7 +147,7 @@
             cpu_millis: st.cpu_millis,
             memory_mb: st.memory_mb,
             run_until_cancelled: spec.run_until_cancelled,
-            payload: st.payload.clone(),
+            payload: spec.payload_of(t.step).clone(),
             intended_at_ms: a.intended_at,
             time_budget_ms: s.tables.rules.order_time_budget_ms,
         })
@@ -153,7 +156,7 @@
     /// The stop order of an attempt that is to be stopped, and where it is.
     fn stop_order(&self, t: TaskId) -> Option<(WorkerIndex, StopOrder)> {
         let a = self.state.tables.attempts.get(&t).filter(|a| a.stop.is_some())?;
-        Some((a.worker, StopOrder { attempt: AttemptId { task: t, number: a.number }, worker: self.state.worker_name(a.worker) }))
+        Some((a.worker, StopOrder { attempt: AttemptId { task: t, number: a.number }, worker: self.state.worker_name(a.worker), term: 0 }))
     }
 
     /// What takes a gateway from its version to the one in force.
--- a/crates/scheduler-core/src/worker_record.rs
+++ b/crates/scheduler-core/src/worker_record.rs
@@ -28,6 +28,12 @@
     /// What is inferred of it.
     #[n(7)]
     pub health: WorkerHealth,
+    /// It is about to end.
+    #[n(8)]
+    pub leaving: bool,
+    /// How long tasks run on it, against their like on other workers.
+    #[n(9)]
+    pub pace: WorkerPace,
 }
 
 /// Old boots remembered.
@@ -37,14 +43,17 @@
     /// A worker just told of.
     pub fn new(told: RegisterWorker) -> Self {
         WorkerRecord {
+            // A worker that takes leases gets work once its clock is known.
+            reachable: !told.leased,
             told,
             old_boots: Vec::new(),
             drain_ordered: false,
             drain_asked: false,
-            reachable: true,
             gateway: None,
             used: Room::new(0, 0),
             health: WorkerHealth::default(),
+            leaving: false,
+            pace: WorkerPace::default(),
         }
     }
 
@@ -55,7 +64,7 @@
 
     /// Its whole room.
     pub fn room(&self) -> Room {
-        Room::new(self.told.cpu_millis, self.told.memory_mb)
+        Room::new(self.told.cpu_millis, self.told.memory_mb).with_gpus(self.told.gpus)
     }
 
     /// Moves on to another boot.
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -1,10 +1,11 @@
 use crate::prelude::*;
 
 /// The executor: feeds the core with inputs, and carries out its effects in order.
-pub struct Daemon {
+pub struct Daemon<S> {
     settings: DaemonSettings,
     clock: MonotonicClock,
     page: MetricsPage,
+    surface: S,
 }
 
 /// Ticks of the core in one election timeout.
@@ -16,10 +17,23 @@
 /// Refreshes of the metrics in one election timeout, as a divisor.
 const METRICS_TIMEOUTS: u64 = 2;
 
-impl Daemon {
+impl<S: ControlSurface> Daemon<S> {
     /// A daemon with these settings.
-    pub fn new(settings: DaemonSettings, page: MetricsPage) -> Self {
-        Daemon { settings, clock: MonotonicClock::start(), page }
+    pub fn new(settings: DaemonSettings, page: MetricsPage, surface: S) -> Self {
+        Daemon { settings, clock: MonotonicClock::start(), page, surface }
+    }
+
+    /// Sets the process up and runs it.
+    pub fn run_process(source: &SettingsSource, s: DaemonSettings, surface: S) -> Result<(), DaemonError> {
+        let format = if s.log_format == "json" { LogFormat::Json } else { LogFormat::Text };
+        init_logs(format, &s.log_level).context(crate::daemon_error::PlumbingSnafu)?;
+        let page = MetricsPage::install().context(crate::daemon_error::PlumbingSnafu)?;
+        let runtime = daemon_runtime(s.worker_threads as usize).context(crate::daemon_error::PlumbingSnafu)?;
+        runtime.block_on(async {
+            let reload = source.changes::<DaemonSettings>().context(crate::daemon_error::PlumbingSnafu)?;
+            tokio::spawn(reload.for_each(|_| async { info!("settings read again: they take effect with the next start") }));
+            Daemon::new(s, page, surface).run().await
+        })
     }
 
     /// Settings of the core.
@@ -27,8 +41,14 @@
         let s = &self.settings;
         let address = s.advertise_internal.unwrap_or(s.listen_internal).to_string();
         let mut c = SchedulerSettings::new(&s.cluster, &address, &s.zone, s.election_timeout_ms);
-        c.seeds = s.seeds.iter().map(ToString::to_string).collect();
-        c.founders = s.founders.iter().map(ToString::to_string).collect();
+        c.seeds = s.seed_addresses().iter().map(ToString::to_string).collect();
+        c.founders = s.founder_addresses().iter().map(ToString::to_string).collect();
+        c.most_voters = s.most_voters;
+        c.gang_wait_ms = s.gang_wait_ms;
+        c.first_class_ms = s.first_class_ms;
+        if s.member_silence_s > 0.0 {
+            c.member_silence_ms = (s.member_silence_s * 1e3) as Millis;
+        }
         c.voters = s.voters as usize;
         c.gateway_silence_ms = s.gateway_silence_ms;
         c.hold_interval_ms = s.hold_interval_ms;
@@ -83,7 +103,11 @@
         let disk = DiskWriter::start(storage, disk_tx)?;
         let stop = shutdown_signal().context(crate::daemon_error::PlumbingSnafu)?;
         tokio::pin!(stop);
-        tokio::spawn(pages(self.settings.listen_http, self.page.clone()));
+        let (port, mut calls, leader) = ControlPort::new(c.log.election_timeout_ms);
+        tokio::spawn(pages(self.settings.listen_http, self.surface.routes(port, self.page.clone())));
+        let mut replies: BTreeMap<u64, oneshot::Sender<CallResult<AnswerBody>>> = BTreeMap::new();
+        let mut last_call = 0;
+        let mut leader_told = None;
         let mut ticks = tokio::time::interval(budget / TICKS_A_TIMEOUT as u32);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         let mut peers = PeerLinks::new(self.settings.listen_internal.ip(), budget);
@@ -107,6 +131,11 @@
                     }
                     Some(Incoming::Input(i)) => i,
                 },
+                Some(e) = calls.recv() => {
+                    last_call += 1;
+                    replies.insert(last_call, e.reply);
+                    SchedulerInput::Call { call: last_call, time_budget_ms: e.time_budget_ms, body: Box::new(e.body) }
+                }
             };
             if let SchedulerInput::GatewayDown(id) = &input {
                 doors.close(*id);
@@ -116,12 +145,23 @@
                     SchedulerEffect::Persist(r) => disk.write(r)?,
                     SchedulerEffect::Peer { address, bytes } => peers.send(&address, bytes),
                     SchedulerEffect::Gateway(id, f) => doors.send(id, &f),
+                    SchedulerEffect::Answer { call, result } => {
+                        if let Some(r) = replies.remove(&call) {
+                            // The caller may be gone.
+                            let _ = r.send(*result);
+                        }
+                    }
                     SchedulerEffect::Halt(reason) => return Err(DaemonError::Halted { reason }),
                     SchedulerEffect::Leading(Some(term)) => info!(term, "leads"),
                     SchedulerEffect::Leading(None) => info!("leads no more"),
                 }
             }
             let now = self.clock.now();
+            let leads = core.leader_address(now);
+            if leads != leader_told {
+                leader.store(leads.as_ref().and_then(|a| a.parse().ok()).map(Arc::new));
+                leader_told = leads;
+            }
             if leaving.is_some_and(|until| now >= until || !core.replica().is_leader()) {
                 break;
             }
@@ -178,14 +218,8 @@
     gauge!("scheduler_configuration_version").set(s.configuration.version() as f64);
 }
 
-/// `GET /metrics` and `GET /healthz`.
-async fn pages(address: SocketAddr, page: MetricsPage) {
-    let metrics = move |_: VizRequest| {
-        let text = page.render();
-        async move { Ok::<_, viz::Error>(VizResponse::text(text)) }
-    };
-    let healthz = |_: VizRequest| async { Ok::<_, viz::Error>(VizResponse::text("ok\n")) };
-    let app = Router::new().get("/metrics", metrics).get("/healthz", healthz);
+/// Serves a router at an address.
+async fn pages(address: SocketAddr, app: Router) {
     match tokio::net::TcpListener::bind(address).await {
         Ok(l) => {
             if let Err(e) = serve(l, app).await {
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,12 @@
+//! The scheduler daemon: an executor around `scheduler-core`. All decisions are the core's.
+
+pub mod prelude;
+
+mod control_port;
+mod daemon;
+mod daemon_error;
+mod disk_writer;
+mod gateway_doors;
+mod peer_links;
+
+pub use prelude::*;
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -7,21 +7,26 @@
 pub use std::thread;
 pub use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+pub use arc_swap::ArcSwapOption;
 pub use bytes::Bytes;
-pub use cluster_messages::prelude::{GatewayFrame, Millis, SchedulerFrame, WireMessage};
+pub use cluster_messages::prelude::{
+    AnswerBody, CallBody, CallError, CallResult, ControlCall, GatewayFrame, Millis, SchedulerFrame, WireMessage,
+};
 pub use futures::StreamExt;
 pub use metrics::{counter, gauge};
 pub use process_plumbing::prelude::{
     Channel, ChannelInbox, Clock, DaemonSettings, IncomingChannel, LogFormat, MetricsPage, MonotonicClock, PlumbingError, daemon_runtime,
-    dial, init_logs, listen, settings_or_exit, shutdown_signal,
+    dial, init_logs, listen, SettingsSource, shutdown_signal,
 };
 pub use replicated_log::prelude::{LogStorage, PersistRequest, RestoredState, SledLogStorage, StorageError};
 pub use scheduler_core::prelude::{ChannelId, HaltReason, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings, StateError};
 pub use snafu::{OptionExt, ResultExt, Snafu};
-pub use tokio::sync::mpsc;
+pub use tokio::sync::{mpsc, oneshot};
+pub use tokio::time::timeout;
 pub use tracing::{error, info, warn};
 pub use viz::{Request as VizRequest, Response as VizResponse, ResponseExt, Router, serve};
 
+pub use crate::control_port::{ControlCallEvent, ControlPort, ControlSurface, OwnPages};
 pub use crate::daemon::Daemon;
 pub use crate::daemon_error::DaemonError;
 pub use crate::disk_writer::DiskWriter;
--- a/crates/worker-stand-in/src/worker_host.rs
+++ b/crates/worker-stand-in/src/worker_host.rs
@@ -130,7 +130,7 @@
         let gateway = self.gateways.get(i % self.gateways.len().max(1))?;
         let caller = HttpCaller::new(self.from.ip(), self.clock, OPEN_BUDGET);
         let body = serde_json::to_vec(body).ok()?;
-        match caller.post(gateway, path, body.into(), None, CALL_BUDGET, MAX_ANSWER).await {
+        match caller.post(HttpPost { address: gateway, path, headers: &[], body: body.into(), leave_by: None }, CALL_BUDGET, MAX_ANSWER).await {
             HttpOutcome::Answer(status, b) if status.is_success() => Some(b),
             _ => None,
         }
