--- a/crates/caller-stand-in/src/job_stream.rs
+++ b/crates/caller-stand-in/src/job_stream.rs
@@ -59,8 +59,8 @@
                     gang,
                     cpu_millis: within(rng, self.cpu_millis),
                     memory_mb: within(rng, self.memory_mb),
-                    kinds: Vec::new(),
                     payload: Payload(json!({"run_ms": run_ms, "outcome": outcome})),
+                    ..StepSpec::default()
                 }
             })
             .collect();
@@ -77,11 +77,10 @@
             service: self.service.to_owned(),
             labels: BTreeMap::from([("stream".to_owned(), self.prefix.to_owned())]),
             urgency: (!rng.random_bool(settings.urgent_share)).then_some(self.urgency / 2),
-            not_before_unix_ms: None,
-            start_after_ms: None,
-            allowed_failures: settings.allowed_failures,
+            allowed_failures: Some(settings.allowed_failures),
             run_until_cancelled: self.cancelled_after_ms.is_some(),
             steps,
+            ..JobSpec::default()
         };
         if rng.random_bool(settings.timed_share) {
             let later = scaled(within(rng, TIMED_LATER_MS));
--- a/crates/caller-stand-in/src/operator_model.rs
+++ b/crates/caller-stand-in/src/operator_model.rs
@@ -194,7 +194,7 @@
                     self.drained.insert(w.clone());
                     self.orders += 1;
                     let order_id = Some(format!("{}-drain-{}", self.settings.tag, self.orders));
-                    let order = DrainWorker { name: w, on: true, order_id };
+                    let order = DrainWorker { name: w, on: true, order_id, ..DrainWorker::default() };
                     self.send(now, Errand::Drain(order.clone()), order.into_body(), effects);
                 }
             }
@@ -238,7 +238,7 @@
     fn put(&mut self, now: Millis, base_version: u64, tree: Value, effects: &mut Vec<CallerEffect>) {
         self.changes += 1;
         let change_id = format!("{}-change-{}", self.settings.tag, self.changes);
-        let call = PutConfiguration { base_version, change_id, tree: Payload(tree.clone()) };
+        let call = PutConfiguration { base_version, change_id, tree: Payload(tree.clone()), source: None };
         self.send(now, Errand::Put { tree, call: call.clone() }, call.into_body(), effects);
     }
 
--- a/crates/caller-stand-in/tests/honest_cluster/mod.rs
+++ b/crates/caller-stand-in/tests/honest_cluster/mod.rs
@@ -142,7 +142,7 @@
     }
 
     fn attempt(j: &Job, (step, index, number): (usize, u32, u16)) -> AttemptId {
-        AttemptId { task: TaskId { job: j.number, step: step as u16, index }, number }
+        AttemptId { task: TaskId::new(j.number, step as u16, index), number }
     }
 
     fn run_task(&mut self, now: Millis, name: &str, run: (usize, u32, u16)) {
@@ -175,7 +175,7 @@
         let o = Self::run_ended(j, name, (step, index, number), outcome);
         self.seen.push((now, o));
         if !good {
-            if u32::from(number) <= j.spec.allowed_failures {
+            if u32::from(number) <= j.spec.allowed_failures.unwrap_or(0) {
                 return self.run_task(now, name, (step, index, number + 1));
             }
             return self.close(now, name, JobState::Failed);
@@ -231,7 +231,7 @@
             }
             CallBody::GetConfiguration(_) => {
                 let tree = Payload(self.tree.clone());
-                AnswerBody::GetConfiguration(Configuration { version: self.version, digest: digest(&self.tree), tree })
+                AnswerBody::GetConfiguration(Configuration { version: self.version, digest: digest(&self.tree), tree, source: None })
             }
             CallBody::PutConfiguration(c) => AnswerBody::PutConfiguration(self.put(c)?),
             CallBody::ListWorkers(_) => AnswerBody::ListWorkers(WorkerList { workers: self.workers.iter().map(|w| summary(w)).collect() }),
@@ -305,5 +305,6 @@
         reachable: true,
         shun_level: 0,
         band: BandSummary::default(),
+        leased: false,
     }
 }
--- a/crates/capacity-slopes/src/fleet_driver.rs
+++ b/crates/capacity-slopes/src/fleet_driver.rs
@@ -91,6 +91,7 @@
                 zone: crate::fleet_size::zone_name(i % d.size.zones),
                 cpu_millis: WORKER_ROOM.0,
                 memory_mb: WORKER_ROOM.1,
+                ..RegisterWorker::default()
             };
             d.workers.push((WorkerModel::new(told, Behaviour::default(), i as u64), Millis::MAX));
             d.worker_at.insert(address, i);
--- a/crates/capacity-slopes/src/fleet_load.rs
+++ b/crates/capacity-slopes/src/fleet_load.rs
@@ -117,7 +117,8 @@
     fn prepare(&mut self) -> Result<(), CapacityError> {
         self.until("leader", 1, |d| u64::from(d.leader().is_some()))?;
         self.run_to(self.now + 2 * LOOK_MS);
-        let body = PutConfiguration { base_version: 0, change_id: "change-0".into(), tree: Payload(self.size.tree(0)) }.into_body();
+        let body =
+            PutConfiguration { base_version: 0, change_id: "change-0".into(), tree: Payload(self.size.tree(0)), source: None }.into_body();
         self.ask(0, body, None);
         self.until("configuration", 1, |d| d.count(|c| c.state().configuration.version() as usize))?;
         let workers = self.size.workers as u64;
@@ -149,17 +150,15 @@
         self.jobs_sent += 1;
         let step = StepSpec {
             name: step.into(),
-            after: Vec::new(),
             tasks,
-            gang: false,
             cpu_millis: 250,
             memory_mb: 512,
-            kinds: Vec::new(),
             payload: Payload(json!({"run_ms": run_ms, "outcome": "succeeded"})),
+            ..StepSpec::default()
         };
         let spec = JobSpec {
             steps: vec![step],
-            allowed_failures: 3,
+            allowed_failures: Some(3),
             ..JobSpec::single(&format!("batch-{n:08}"), &format!("team-{:03}", n as usize % self.size.queues), "teams", tasks, 250, 512)
         };
         let gateway = n as usize % self.size.gateways;
@@ -182,7 +181,8 @@
         }
         self.changes_sent += 1;
         let n = self.changes_sent;
-        let body = PutConfiguration { base_version: n, change_id: format!("change-{n}"), tree: Payload(self.size.tree(n)) }.into_body();
+        let body = PutConfiguration { base_version: n, change_id: format!("change-{n}"), tree: Payload(self.size.tree(n)), source: None }
+            .into_body();
         self.ask(n as usize % self.size.gateways, body, None);
         self.set(self.now + (1_000.0 / self.size.changes_per_s) as Millis, DriverEvent::NextChange);
     }
--- a/crates/capacity-slopes/src/scheduler_seat.rs
+++ b/crates/capacity-slopes/src/scheduler_seat.rs
@@ -49,7 +49,7 @@
                 SchedulerEffect::Peer { address, bytes } => out.peers.push((address, bytes)),
                 SchedulerEffect::Gateway(c, f) => out.gateways.push((c, frame_kind(&f), f.to_bytes())),
                 // A core that halts serves no more, and the driver tells that its load was not reached.
-                SchedulerEffect::Leading(_) | SchedulerEffect::Halt(_) => {}
+                SchedulerEffect::Leading(_) | SchedulerEffect::Halt(_) | SchedulerEffect::Answer { .. } => {}
             }
         }
         let took = thread_cpu_ns() - began;
--- a/crates/cluster-messages/src/job_spec.rs
+++ b/crates/cluster-messages/src/job_spec.rs
@@ -234,13 +234,7 @@
 
     /// A job of one step, for examples and tools.
     pub fn single(name: &str, queue: &str, service: &str, tasks: u32, cpu_millis: u64, memory_mb: u64) -> Self {
-        let step = StepSpec {
-            name: "main".into(),
-            tasks,
-            cpu_millis,
-            memory_mb,
-            ..StepSpec::default()
-        };
+        let step = StepSpec { name: "main".into(), tasks, cpu_millis, memory_mb, ..StepSpec::default() };
         JobSpec {
             name: name.into(),
             queue: queue.into(),
--- a/crates/cluster-messages/src/worker_calls.rs
+++ b/crates/cluster-messages/src/worker_calls.rs
@@ -57,7 +57,7 @@
 }
 
 /// Starts or ends a drain: no new task, running ones go on. `POST /v1/workers/{name}/drain`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct DrainWorker {
     /// The worker.
     #[n(0)]
--- a/crates/firlock-client/src/commands/configuration_commands.rs
+++ b/crates/firlock-client/src/commands/configuration_commands.rs
@@ -77,7 +77,7 @@
         // Told first: after a lost answer, the same id and base make it the same change.
         writeln!(s.out, "change id {change_id}, base {base}")?;
     }
-    let a = s.client.call(&PutConfiguration { base_version: base, change_id, tree: Payload(new) }).await?;
+    let a = s.client.call(&PutConfiguration { base_version: base, change_id, tree: Payload(new), source: None }).await?;
     s.print(&a, |a| format!("version {}{} digest {}\n", a.version, if a.already { " (already acknowledged)" } else { "" }, a.digest))?;
     Ok(ExitCode::Ok)
 }
--- a/crates/firlock-client/src/commands/worker_commands.rs
+++ b/crates/firlock-client/src/commands/worker_commands.rs
@@ -39,7 +39,10 @@
 pub async fn drain(s: &mut Session<'_>) -> CommandResult {
     let [name] = s.arguments()?;
     let order_id = s.matches.opt_str("order-id").unwrap_or_else(|| crate::session::fresh_id("drain"));
-    let a = s.client.call(&DrainWorker { name: name.to_owned(), on: !s.matches.opt_present("off"), order_id: Some(order_id) }).await?;
+    let a = s
+        .client
+        .call(&DrainWorker { name: name.to_owned(), on: !s.matches.opt_present("off"), order_id: Some(order_id), ..DrainWorker::default() })
+        .await?;
     s.print(&a, |a| format!("{} {}; {} attempts on it\n", a.name, if a.draining { "drains" } else { "takes work" }, a.attempts))?;
     Ok(ExitCode::Ok)
 }
--- a/crates/firlock-client/src/http_call.rs
+++ b/crates/firlock-client/src/http_call.rs
@@ -7,7 +7,7 @@
 /// use firlock_client::{HttpCall, Method};
 /// let r = CancelJob { name: "hold-7".into() }.request();
 /// assert_eq!((r.method, r.target.as_str()), (Method::Post, "/v1/jobs/hold-7/cancel"));
-/// let r = DrainWorker { name: "w1".into(), on: true, order_id: None }.request();
+/// let r = DrainWorker { name: "w1".into(), on: true, order_id: None, ..DrainWorker::default() }.request();
 /// assert_eq!(r.target, "/v1/workers/w1/drain");
 /// let r = ListJobs { queue: Some("table-holds".into()), ..ListJobs::default() }.request();
 /// assert_eq!(r.target, "/v1/jobs?queue=table-holds");
--- a/crates/firlock-client/tests/fleet/mod.rs
+++ b/crates/firlock-client/tests/fleet/mod.rs
@@ -22,6 +22,7 @@
         reachable: true,
         shun_level: 0,
         band: BandSummary { class: 2, state: s("open") },
+        leased: false,
     }
 }
 
--- a/crates/firlock-client/tests/http_calls.rs
+++ b/crates/firlock-client/tests/http_calls.rs
@@ -18,12 +18,12 @@
         ),
         (ListJobs::default().into_body(), "GET /v1/jobs"),
         (ExplainJob { name: n("a") }.into_body(), "GET /v1/jobs/a/why"),
-        (DrainWorker { name: n("w"), on: true, order_id: None }.into_body(), "POST /v1/workers/w/drain"),
+        (DrainWorker { name: n("w"), on: true, order_id: None, ..DrainWorker::default() }.into_body(), "POST /v1/workers/w/drain"),
         (RemoveWorker { name: n("w"), declare_lost: true }.into_body(), "POST /v1/workers/w/remove"),
         (ListWorkers { zone: Some(n("z1")) }.into_body(), "GET /v1/workers?zone=z1"),
         (EvacuateZone { zone: n("z1"), on: true, order_id: n("o") }.into_body(), "POST /v1/zones/z1/evacuate"),
         (GetConfiguration {}.into_body(), "GET /v1/config"),
-        (PutConfiguration { base_version: 1, change_id: n("c"), tree: Payload(json!({})) }.into_body(), "PUT /v1/config"),
+        (PutConfiguration { base_version: 1, change_id: n("c"), tree: Payload(json!({})), source: None }.into_body(), "PUT /v1/config"),
         (GetConfigurationHistory { limit: Some(2) }.into_body(), "GET /v1/config/history?limit=2"),
         (GetEffectiveSettings { zone: n("z"), queue: n("q") }.into_body(), "GET /v1/config/effective?zone=z&queue=q"),
         (ListQueues {}.into_body(), "GET /v1/queues"),
@@ -44,7 +44,7 @@
     let spec = JobSpec::single("a", "q", "booking", 1, 1, 1);
     let r = SubmitJob { spec: spec.clone() }.request();
     assert_eq!(serde_json::from_slice::<JobSpec>(&r.body).unwrap(), spec);
-    let put = PutConfiguration { base_version: 1, change_id: n("c"), tree: Payload(json!({"settings": {}})) };
+    let put = PutConfiguration { base_version: 1, change_id: n("c"), tree: Payload(json!({"settings": {}})), source: None };
     assert_eq!(serde_json::from_slice::<PutConfiguration>(&put.request().body).unwrap(), put);
 }
 
--- a/crates/firlock-client/tests/stand_in/mod.rs
+++ b/crates/firlock-client/tests/stand_in/mod.rs
@@ -103,7 +103,9 @@
                 let on = serde_json::from_slice::<EvacuateZone>(body).unwrap().on;
                 json!(ZoneEvacuated { zone: (*zone).into(), on, already: false, attempts: 2 })
             }
-            ("GET", ["config"]) => json!(Configuration { version: self.version, digest: "d3".into(), tree: Payload(self.tree.clone()) }),
+            ("GET", ["config"]) => {
+                json!(Configuration { version: self.version, digest: "d3".into(), tree: Payload(self.tree.clone()), source: None })
+            }
             ("PUT", ["config"]) => {
                 let c: PutConfiguration = serde_json::from_slice(body).unwrap();
                 if c.base_version != self.version {
--- a/crates/fleet-emulator/src/fault_executor.rs
+++ b/crates/fleet-emulator/src/fault_executor.rs
@@ -268,7 +268,7 @@
             let mut tree = c.tree.0.clone();
             tree["settings"]["urgent_reserve"] = json!(0.01 * (1.0 + side as f64 + 2.0 * (round % 5) as f64));
             let change_id = format!("race-{seed}-{round}-{side}");
-            PutConfiguration { base_version: c.version, change_id, tree: Payload(tree) }.into_body()
+            PutConfiguration { base_version: c.version, change_id, tree: Payload(tree), source: None }.into_body()
         };
         let (a, b) = (put(0), put(1));
         tokio::join!(desk.send(a.clone()), desk.send(b.clone()));
--- a/crates/fleet-emulator/src/fleet_run.rs
+++ b/crates/fleet-emulator/src/fleet_run.rs
@@ -129,7 +129,7 @@
 
     /// Puts the deployment's configuration in force before anything else.
     async fn found(&self) -> FleetResult<()> {
-        let put = PutConfiguration { base_version: 0, change_id: "fleet-founding".into(), tree: Payload(self.tree.clone()) };
+        let put = PutConfiguration { base_version: 0, change_id: "fleet-founding".into(), tree: Payload(self.tree.clone()), source: None };
         match self.desk.send(put.into_body()).await {
             Some(Ok(_)) => Ok(()),
             Some(Err(e)) => CallSnafu { url: "PUT /v1/config", problem: e.to_string() }.fail(),
--- a/crates/fleet-oracle/src/oracle_runs.rs
+++ b/crates/fleet-oracle/src/oracle_runs.rs
@@ -49,7 +49,7 @@
         if let Some(spec) = j.sure_spec() {
             if failed > spec.allowed_failures.unwrap_or(0) {
                 let allowed = spec.allowed_failures;
-                self.tally.add(Rule::RetriedPastAllowed, at, || format!("{}: failed {failed} times, {allowed} allowed", about()));
+                self.tally.add(Rule::RetriedPastAllowed, at, || format!("{}: failed {failed} times, {allowed:?} allowed", about()));
             }
             if let Some(st) = spec.steps.get(usize::from(step)) {
                 if let Some(a) = st.after.iter().find(|a| !step_done(spec, &j.done, a)) {
@@ -129,7 +129,7 @@
                 t.failed += 1;
                 t.failed_ever += 1;
             }
-            Some(Outcome::Stopped) | None => {}
+            Some(Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone) | None => {}
         }
         let failed_ever = t.failed_ever;
         self.book.counts.unneeded += u64::from(outcome != Some(Outcome::Succeeded));
@@ -164,7 +164,7 @@
         match outcome {
             Outcome::Succeeded => t.succeeded = t.succeeded.saturating_sub(1),
             Outcome::Failed => t.failed = t.failed.saturating_sub(1),
-            Outcome::Stopped => {}
+            Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => {}
         }
         j.compact();
     }
--- a/crates/fleet-oracle/tests/rules.rs
+++ b/crates/fleet-oracle/tests/rules.rs
@@ -126,7 +126,7 @@
 fn job_final_without_cause() {
     for state in [JobState::Failed, JobState::Cancelled, JobState::Succeeded] {
         let mut s = Scene::new();
-        s.accept(100, 1, JobSpec { allowed_failures: 1, ..job("j", 1) });
+        s.accept(100, 1, JobSpec { allowed_failures: Some(1), ..job("j", 1) });
         s.run(200, "w1", "j", "1.0.0.1", Outcome::Failed);
         s.shown(400, "j", state);
         s.shown(500, "j", state);
@@ -241,7 +241,7 @@
 #[test]
 fn retried_past_allowed() {
     let mut s = Scene::new();
-    s.accept(100, 1, JobSpec { allowed_failures: 1, ..job("j", 1) });
+    s.accept(100, 1, JobSpec { allowed_failures: Some(1), ..job("j", 1) });
     s.run(200, "w1", "j", "1.0.0.1", Outcome::Failed);
     s.run(400, "w1", "j", "1.0.0.2", Outcome::Failed);
     s.run(600, "w1", "j", "1.0.0.3", Outcome::Succeeded);
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -199,6 +199,8 @@
                 }
                 SchedulerEffect::Peer { address, bytes } => self.send_peer(i, &address, &bytes),
                 SchedulerEffect::Gateway(channel, f) => self.send_frame(channel, Direction::Down(*f)),
+                // Nobody calls a scheduler itself here.
+                SchedulerEffect::Answer { .. } => {}
                 SchedulerEffect::Halt(reason) => self.divergences.push(format!("scheduler {i} halted: {reason}")),
                 SchedulerEffect::Leading(l) => {
                     if self.verbose {
--- a/crates/fleet-simulator/src/simulation_workers.rs
+++ b/crates/fleet-simulator/src/simulation_workers.rs
@@ -77,7 +77,7 @@
             && !self.reached.contains(&(i, s.attempt))
         {
             let boot_id = boot(i, self.workers[i].boots);
-            let answer = StopAnswer { attempt: s.attempt, result: StopResult::Void, boot_id, ended: None };
+            let answer = StopAnswer { attempt: s.attempt, result: StopResult::Void, boot_id, ended: None, clock_ms: None };
             let delay = self.network.delay();
             self.agenda
                 .set(self.now + delay, Occurrence::OrderOver { call: token, reply: WorkerReply::Answer(WorkerAnswer::Stop(answer)) });
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -265,7 +265,8 @@
     /// Stops, then starts: what is to be stopped doesn't leave any more.
     fn send_orders(&mut self, fx: &mut Vec<GatewayEffect>) {
         let share = &self.share;
-        self.counters.stops_sent += self.stops.send(self.now, self.steps, self.session.term(), |w| share.mine(w).map(|h| h.address.clone()), fx);
+        self.counters.stops_sent +=
+            self.stops.send(self.now, self.steps, self.session.term(), |w| share.mine(w).map(|h| h.address.clone()), fx);
         let before = fx.len();
         let mut gate = OrderGate { now: self.now, bound: self.session.bound(), share: &mut self.share, settings: &self.settings };
         let dropped = self.starts.send(self.settings.starts_out(), &mut gate, fx);
--- a/crates/gateway-core/src/gateway_settings.rs
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -25,7 +25,11 @@
             cluster: "firlock".into(),
             election_timeout_ms: 1_000,
             gateway_silence_ms: 3_000,
-            hold_interval_ms: 1_000, lease_most_ms: 0, gang_wait_ms: 8_000, inbox: 4_096 }
+            hold_interval_ms: 1_000,
+            lease_most_ms: 0,
+            gang_wait_ms: 8_000,
+            inbox: 4_096,
+        }
     }
 }
 
--- a/crates/gateway-core/src/gateway_view.rs
+++ b/crates/gateway-core/src/gateway_view.rs
@@ -83,7 +83,9 @@
                 AnswerBody::GetConfiguration(Configuration {
                     version: c.version,
                     digest: c.digest.clone(),
-                    tree: Payload((*c.tree).clone()), source: None })
+                    tree: Payload((*c.tree).clone()),
+                    source: None,
+                })
             }
             _ => return None,
         };
--- a/crates/gateway-core/src/start_book.rs
+++ b/crates/gateway-core/src/start_book.rs
@@ -39,8 +39,6 @@
     settled_order: VecDeque<AttemptId>,
 }
 
-
-
 impl StartBook {
     /// How far an attempt is, if it is known and not settled.
     pub fn state(&self, a: AttemptId) -> Option<OrderState> {
@@ -86,7 +84,17 @@
             }
             None => {
                 // Another instance or gateway may have sent it: nothing is proven, but here it is never sent.
-                self.records.insert(a, StartRecord { state: OrderState::Dropped, worker: stop.worker.clone(), order: None, given: false, lease_until: None, patience: Millis::MAX });
+                self.records.insert(
+                    a,
+                    StartRecord {
+                        state: OrderState::Dropped,
+                        worker: stop.worker.clone(),
+                        order: None,
+                        given: false,
+                        lease_until: None,
+                        patience: Millis::MAX,
+                    },
+                );
                 false
             }
         }
--- a/crates/gateway-core/src/start_record.rs
+++ b/crates/gateway-core/src/start_record.rs
@@ -20,7 +20,14 @@
 impl StartRecord {
     /// A new one.
     pub fn new(order: StartOrder) -> Self {
-        StartRecord { state: OrderState::initial(), worker: order.worker.clone(), order: Some(Box::new(order)), given: true, lease_until: None, patience: Millis::MAX }
+        StartRecord {
+            state: OrderState::initial(),
+            worker: order.worker.clone(),
+            order: Some(Box::new(order)),
+            given: true,
+            lease_until: None,
+            patience: Millis::MAX,
+        }
     }
 
     /// Takes one step of the chart; false when it leads nowhere.
--- a/crates/gateway-core/src/stop_book.rs
+++ b/crates/gateway-core/src/stop_book.rs
@@ -46,7 +46,14 @@
     }
 
     /// Sends what is due; `address` knows the workers of this gateway's share.
-    pub fn send(&mut self, now: Millis, step: u64, term: u64, address: impl Fn(&str) -> Option<String>, fx: &mut Vec<GatewayEffect>) -> u64 {
+    pub fn send(
+        &mut self,
+        now: Millis,
+        step: u64,
+        term: u64,
+        address: impl Fn(&str) -> Option<String>,
+        fx: &mut Vec<GatewayEffect>,
+    ) -> u64 {
         let mut n = 0;
         for (a, s) in self.open.iter_mut().filter(|(_, s)| !s.out && s.next_at <= now) {
             if let Some(address) = address(&s.worker) {
--- a/crates/gateway-core/tests/hold_test.rs
+++ b/crates/gateway-core/tests/hold_test.rs
@@ -158,7 +158,7 @@
 fn an_answer_of_a_boot_not_yet_known_proves_nothing_until_a_hold_shows_it() {
     let mut t = Stand::attached();
     t.give(id(1));
-    let reply = Reply::Answer(StartAnswer { attempt: id(1), result: StartResult::Started, boot_id: "b2".into() });
+    let reply = Reply::Answer(StartAnswer { attempt: id(1), result: StartResult::Started, boot_id: "b2".into(), clock_ms: None });
     let fx = t.step(GatewayInput::StartAnswered { attempt: id(1), reply });
     assert!(facts(&fx).is_empty() && t.facts().is_empty());
     let f = told(&mut t, list("b2", 2, &[id(1)], &[]));
--- a/crates/gateway-core/tests/honest_worker_test.rs
+++ b/crates/gateway-core/tests/honest_worker_test.rs
@@ -95,7 +95,7 @@
         }
         1 if !open.is_empty() => {
             let (attempt, boot_id) = open.swap_remove(usize::from(n) % open.len());
-            let answer = StartAnswer { attempt, result: StartResult::Started, boot_id };
+            let answer = StartAnswer { attempt, result: StartResult::Started, boot_id, clock_ms: None };
             let reply = if n > 200 { Reply::Unknown } else { Reply::Answer(answer) };
             t.step(GatewayInput::StartAnswered { attempt, reply })
         }
--- a/crates/gateway-core/tests/session_test.rs
+++ b/crates/gateway-core/tests/session_test.rs
@@ -137,7 +137,7 @@
         fill(&mut t, &|n| submit(n, 4)),
         fill(&mut t, &|n| CancelJob { name: n.to_string() }.into_body()),
         fill(&mut t, &|n| submit(n, 9)),
-        fill(&mut t, &|n| DrainWorker { name: n.to_string(), on: true, order_id: None }.into_body()),
+        fill(&mut t, &|n| DrainWorker { name: n.to_string(), on: true, order_id: None, ..DrainWorker::default() }.into_body()),
     ]
     .map(|(n, _)| n)
     .to_vec();
--- a/crates/gateway-core/tests/stand/mod.rs
+++ b/crates/gateway-core/tests/stand/mod.rs
@@ -113,6 +113,9 @@
             payload: Payload::default(),
             intended_at_ms: self.log_time(),
             time_budget_ms: 500,
+            checkpoint: None,
+            lease_until_ms: None,
+            estimate_ms: 0,
         }
     }
 
@@ -122,16 +125,16 @@
     }
 
     pub fn stop(&mut self, a: AttemptId) -> Vec<GatewayEffect> {
-        self.update(|u| u.stops = vec![StopOrder { attempt: a, worker: W.into() }])
+        self.update(|u| u.stops = vec![StopOrder { attempt: a, worker: W.into(), term: 0 }])
     }
 
     pub fn started(&mut self, a: AttemptId, reply: Reply<StartResult>) -> Vec<GatewayEffect> {
-        let reply = map(reply, |result| StartAnswer { attempt: a, result, boot_id: "b1".into() });
+        let reply = map(reply, |result| StartAnswer { attempt: a, result, boot_id: "b1".into(), clock_ms: None });
         self.step(GatewayInput::StartAnswered { attempt: a, reply })
     }
 
     pub fn stopped(&mut self, a: AttemptId, reply: Reply<StopResult>) -> Vec<GatewayEffect> {
-        let reply = map(reply, |result| StopAnswer { attempt: a, result, boot_id: "b1".into(), ended: None });
+        let reply = map(reply, |result| StopAnswer { attempt: a, result, boot_id: "b1".into(), ended: None, clock_ms: None });
         self.step(GatewayInput::StopAnswered { attempt: a, worker: W.into(), reply })
     }
 
@@ -150,17 +153,27 @@
         Reply::Answer(a) => Reply::Answer(f(a)),
         Reply::NotSent => Reply::NotSent,
         Reply::Unknown => Reply::Unknown,
+        Reply::OtherLife => Reply::OtherLife,
     }
 }
 
 pub fn list(boot: &str, change: u64, running: &[AttemptId], ended: &[AttemptId]) -> Reply<HoldAnswer> {
-    let ended = ended.iter().map(|a| EndedAttempt { attempt: *a, outcome: Outcome::Succeeded, ran_ms: 9 }).collect();
+    let ended = ended.iter().map(|a| EndedAttempt { ran_ms: 9, ..EndedAttempt::new(*a, Outcome::Succeeded) }).collect();
     let (worker, boot_id) = (W.into(), boot.into());
-    Reply::Answer(HoldAnswer { worker, boot_id, change, draining: false, unchanged: false, running: running.to_vec(), ended })
+    Reply::Answer(HoldAnswer {
+        worker,
+        boot_id,
+        change,
+        draining: false,
+        unchanged: false,
+        running: running.to_vec(),
+        ended,
+        ..HoldAnswer::default()
+    })
 }
 
 pub fn id(job: JobNumber) -> AttemptId {
-    AttemptId { task: TaskId { job, step: 0, index: 0 }, number: 1 }
+    AttemptId { task: TaskId::new(job, 0, 0), number: 1 }
 }
 
 pub fn job(n: JobNumber, state: JobState) -> JobSummary {
@@ -196,6 +209,7 @@
         reachable: true,
         shun_level: 0,
         band: BandSummary::default(),
+        leased: false,
     }
 }
 
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -18,8 +18,8 @@
 pub use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 pub use metrics::{counter, gauge, histogram};
 pub use process_plumbing::prelude::{
-    ChannelInbox, ChannelSink, ChannelStream, Clock, DaemonSettings, HttpCaller, HttpOutcome, HttpPost, LogFormat, MAX_FRAME, MetricsPage, Millis,
-    MonotonicClock, PlumbingError, daemon_runtime, dial, init_logs, listen, parse_address, SettingsSource, shutdown_signal,
+    ChannelInbox, ChannelSink, ChannelStream, Clock, DaemonSettings, HttpCaller, HttpOutcome, HttpPost, LogFormat, MAX_FRAME, MetricsPage,
+    Millis, MonotonicClock, PlumbingError, SettingsSource, daemon_runtime, dial, init_logs, listen, parse_address, shutdown_signal,
 };
 pub use serde::de::DeserializeOwned;
 pub use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
--- a/crates/gateway/tests/daemon_test.rs
+++ b/crates/gateway/tests/daemon_test.rs
@@ -51,6 +51,7 @@
         reachable: true,
         shun_level: 0,
         band: BandSummary::default(),
+        leased: false,
     }
 }
 
@@ -70,7 +71,7 @@
         let started = started.clone();
         async move {
             let o: StartOrder = r.json().await.unwrap();
-            let a = StartAnswer { attempt: o.attempt, result: StartResult::Started, boot_id: "b1".into() };
+            let a = StartAnswer { attempt: o.attempt, result: StartResult::Started, boot_id: "b1".into(), clock_ms: None };
             started.send(o).await.unwrap();
             viz::Result::Ok(answer_page(StatusCode::OK, &a, None))
         }
@@ -81,7 +82,16 @@
             std::future::pending::<()>().await;
         }
         let (worker, boot_id) = (o.worker, "b1".into());
-        let a = HoldAnswer { worker, boot_id, change: 1, draining: true, unchanged: false, running: vec![], ended: vec![] };
+        let a = HoldAnswer {
+            worker,
+            boot_id,
+            change: 1,
+            draining: true,
+            unchanged: false,
+            running: vec![],
+            ended: vec![],
+            ..HoldAnswer::default()
+        };
         viz::Result::Ok(answer_page(StatusCode::OK, &a, None))
     };
     Router::new().post("/start", start).post("/hold", hold)
@@ -116,6 +126,9 @@
         // A start leaves for the worker, and its proof comes back as a fact, like the worker's wish to drain.
         let attempt: AttemptId = "1.0.0.1".parse().unwrap();
         let order = StartOrder {
+            checkpoint: None,
+            lease_until_ms: None,
+            estimate_ms: 0,
             gang_by_ms: None,
             attempt,
             term: 1,
--- a/crates/process-plumbing/tests/http_test.rs
+++ b/crates/process-plumbing/tests/http_test.rs
@@ -11,6 +11,10 @@
     }
 }
 
+fn start_post<'c>(address: &'c str, body: &'static [u8], leave_by: Option<Millis>) -> HttpPost<'c> {
+    HttpPost { address, path: "/start", headers: &[], body: Bytes::from_static(body), leave_by }
+}
+
 fn caller(now: Millis) -> HttpCaller<FixedClock> {
     HttpCaller::new("127.3.0.9".parse().unwrap(), FixedClock(now), BUDGET)
 }
@@ -34,7 +38,7 @@
     let l = TcpListener::bind("127.3.0.1:0").await.unwrap();
     let to = l.local_addr().unwrap().to_string();
     let c = caller(now);
-    tokio::join!(c.post(&to, "/start", Bytes::from_static(b"{\"x\":1}"), leave_by, BUDGET, 1_000), serve_once(l, "{\"x\":1}", answer))
+    tokio::join!(c.post(start_post(&to, b"{\"x\":1}", leave_by), BUDGET, 1_000), serve_once(l, "{\"x\":1}", answer))
 }
 
 fn run<T>(f: impl Future<Output = T>) -> T {
@@ -67,7 +71,7 @@
         let l = TcpListener::bind("127.3.0.1:0").await.unwrap();
         let to = l.local_addr().unwrap().to_string();
         drop(l);
-        assert_eq!(caller(1).post(&to, "/start", Bytes::from_static(b"{}"), None, BUDGET, 9).await, HttpOutcome::NotSent);
+        assert_eq!(caller(1).post(start_post(&to, b"{}", None), BUDGET, 9).await, HttpOutcome::NotSent);
     });
 }
 
--- a/crates/replicated-log/src/log_settings.rs
+++ b/crates/replicated-log/src/log_settings.rs
@@ -49,8 +49,8 @@
     pub caught_up_entries: Index,
     /// Whether members are told of a commit at once, or with the next append or heartbeat.
     pub push_commits: bool,
-    /// Memory the sled page cache may use.
-    pub sled_cache_bytes: u64,
+    /// Memory the store's page cache may use.
+    pub store_cache_bytes: u64,
 }
 
 impl LogSettings {
@@ -69,7 +69,7 @@
             kept_tail_bytes: max_batch_bytes * KEPT_TAIL_BATCHES,
             caught_up_entries: 64,
             push_commits: true,
-            sled_cache_bytes: 2 << 20,
+            store_cache_bytes: 2 << 20,
         }
     }
 
--- a/crates/replicated-log/src/storage_error.rs
+++ b/crates/replicated-log/src/storage_error.rs
@@ -8,7 +8,13 @@
     #[snafu(display("the store reports: {source}"))]
     Store {
         /// What it said.
-        source: sled::Error,
+        source: Box<redb::Error>,
+    },
+    /// The folder, or a file in it.
+    #[snafu(display("the store's folder: {source}"))]
+    Folder {
+        /// What the system said.
+        source: std::io::Error,
     },
     /// Too few bytes for a record.
     #[snafu(display("a record of {bytes} bytes is too short"))]
--- a/crates/replicated-log/tests/storage.rs
+++ b/crates/replicated-log/tests/storage.rs
@@ -33,15 +33,15 @@
 }
 
 #[test]
-fn sled_gives_back_what_memory_gives_back_after_each_write_and_reopening() {
+fn the_disk_gives_back_what_memory_gives_back_after_each_write_and_reopening() {
     let folder = tempfile::tempdir().unwrap();
     let mut memory = MemoryLogStorage::default();
     for request in writes() {
         memory.write(&request).unwrap();
-        let mut sled = reopen(folder.path());
-        sled.write(&request).unwrap();
-        assert_eq!(sled.load().unwrap(), memory.load().unwrap());
-        drop(sled);
+        let mut disk = reopen(folder.path());
+        disk.write(&request).unwrap();
+        assert_eq!(disk.load().unwrap(), memory.load().unwrap());
+        drop(disk);
         let reopened = reopen(folder.path());
         assert_eq!(reopened.load().unwrap(), memory.load().unwrap(), "ticket {}", request.ticket);
     }
@@ -50,8 +50,8 @@
 #[test]
 fn a_group_of_writes_is_the_same_as_one_by_one() {
     let (one, group) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
-    let mut first = SledLogStorage::open(one.path(), &settings()).unwrap();
-    let mut second = SledLogStorage::open(group.path(), &settings()).unwrap();
+    let mut first = DiskLogStorage::open(one.path(), &settings()).unwrap();
+    let mut second = DiskLogStorage::open(group.path(), &settings()).unwrap();
     for request in writes() {
         first.write(&request).unwrap();
     }
@@ -62,39 +62,26 @@
 #[test]
 fn a_fresh_folder_has_no_identity_and_keeps_the_one_it_gets() {
     let folder = tempfile::tempdir().unwrap();
-    let mut sled = reopen(folder.path());
-    assert_eq!(sled.identity().unwrap(), None);
-    assert!(sled.load().unwrap().is_empty());
-    sled.set_identity(0xfeed_beef).unwrap();
-    drop(sled);
-    let sled = reopen(folder.path());
-    assert_eq!(sled.identity().unwrap(), Some(0xfeed_beef));
+    let mut disk = reopen(folder.path());
+    assert_eq!(disk.identity().unwrap(), None);
+    assert!(disk.load().unwrap().is_empty());
+    disk.set_identity(0xfeed_beef).unwrap();
+    drop(disk);
+    let disk = reopen(folder.path());
+    assert_eq!(disk.identity().unwrap(), Some(0xfeed_beef));
 }
 
-/// Opens a folder whose last user is gone but for sled's own threads: they may
-/// hold its lock for a moment longer, so that the first tries may not get it.
-fn reopen(folder: &Path) -> SledLogStorage {
-    for _ in 0..1_000_000 {
-        match SledLogStorage::open(folder, &settings()) {
-            Ok(storage) => return storage,
-            Err(StorageError::Store { .. }) => std::thread::yield_now(),
-            Err(error) => panic!("{error}"),
-        }
-    }
-    panic!("the folder's lock was never given back");
+fn reopen(folder: &Path) -> DiskLogStorage {
+    DiskLogStorage::open(folder, &settings()).unwrap()
 }
 
-/// Opens the folder as a bare store, changes it, and gives what loading says.
-fn load_after(change: impl Fn(&sled::Db)) -> Result<RestoredState, StorageError> {
+/// Opens the folder, changes single records, and gives what loading says.
+fn load_after(change: impl Fn(&DiskLogStorage)) -> Result<RestoredState, StorageError> {
     let folder = tempfile::tempdir().unwrap();
     let mut storage = reopen(folder.path());
     storage.write_all(&writes()[..4]).unwrap();
+    change(&storage);
     drop(storage);
-    let mut tries = (0..1_000_000).map(|_| sled::open(folder.path()));
-    let db = tries.find_map(Result::ok).unwrap();
-    change(&db);
-    db.flush().unwrap();
-    drop(db);
     reopen(folder.path()).load()
 }
 
@@ -106,22 +93,22 @@
 fn broken_records_are_named() {
     assert!(load_after(|_| ()).is_ok());
     let flip = |place: usize| {
-        move |db: &sled::Db| {
-            let mut bytes = db.get(key(9)).unwrap().unwrap().to_vec();
+        move |db: &DiskLogStorage| {
+            let mut bytes = db.bytes(&key(9)).unwrap().unwrap();
             bytes[place] ^= 0x40;
-            db.insert(key(9), bytes).unwrap();
+            db.put(&key(9), &bytes).unwrap();
         }
     };
     assert!(matches!(load_after(flip(12)), Err(StorageError::BadChecksum { .. })));
     assert!(matches!(load_after(flip(0)), Err(StorageError::UnknownVersion { version: 0x41 })));
-    let cut = load_after(|db| drop(db.insert(key(9), &[1u8, 2][..]).unwrap()));
+    let cut = load_after(|db| db.put(&key(9), &[1, 2]).unwrap());
     assert!(matches!(cut, Err(StorageError::TooShort { bytes: 2 })));
-    let gap = load_after(|db| drop(db.remove(key(9)).unwrap()));
+    let gap = load_after(|db| db.put(&key(9), &[]).unwrap());
     assert!(matches!(gap, Err(StorageError::Gap { wanted: 9, found: 10 })));
-    let early = load_after(|db| (5..=7).for_each(|i| drop(db.remove(key(i)).unwrap())));
+    let early = load_after(|db| (5..=7).for_each(|i| db.put(&key(i), &[]).unwrap()));
     assert!(matches!(early, Err(StorageError::Gap { wanted: 7, found: 8 })));
     let piece = [b"c".as_slice(), &6u64.to_be_bytes(), &3u32.to_be_bytes()].concat();
-    let hole = load_after(move |db| drop(db.remove(&piece).unwrap()));
+    let hole = load_after(move |db| db.put(&piece, &[]).unwrap());
     assert!(matches!(hole, Err(StorageError::SnapshotIncomplete { wanted: 1000, found: 192 })));
 }
 
@@ -144,7 +131,7 @@
 }
 
 #[test]
-fn a_replica_goes_on_from_a_sled_folder() {
+fn a_replica_goes_on_from_a_folder() {
     let folder = tempfile::tempdir().unwrap();
     let home = MemberAddress::new("127.0.0.1:1", "a");
     let alone = RestoredState::founding(Membership::of_voters([(1, home)]));
--- a/crates/scheduler-core/src/job.rs
+++ b/crates/scheduler-core/src/job.rs
@@ -79,7 +79,19 @@
 impl Step {
     /// A step of so many tasks that waits for so many others.
     pub fn new(waits_for: u32) -> Self {
-        Step { waits_for, tasks: Vec::new(), fresh: 0, again: BTreeSet::new(), live: 0, succeeded: 0, gang_by: None, gang_runs: 0, gang_failures: 0, gang_done: false, durations: (0, 0) }
+        Step {
+            waits_for,
+            tasks: Vec::new(),
+            fresh: 0,
+            again: BTreeSet::new(),
+            live: 0,
+            succeeded: 0,
+            gang_by: None,
+            gang_runs: 0,
+            gang_failures: 0,
+            gang_done: false,
+            durations: (0, 0),
+        }
     }
 
     /// Tasks that could start now, the next one first.
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -94,7 +94,8 @@
                 None
             }
             Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms } => {
-                let rules = ClusterRules { voters, gang_time_budget_ms: gang_wait_ms, first_class_ms, ..ClusterRules::new(hold_interval_ms) };
+                let rules =
+                    ClusterRules { voters, gang_time_budget_ms: gang_wait_ms, first_class_ms, ..ClusterRules::new(hold_interval_ms) };
                 if rules != self.state.tables.rules {
                     self.emit(Event::RulesChanged { rules });
                 }
--- a/crates/scheduler-core/src/ledger_jobs.rs
+++ b/crates/scheduler-core/src/ledger_jobs.rs
@@ -35,7 +35,14 @@
     }
 
     /// A tree of settings, as a patch on its base.
-    pub(crate) fn patch_configuration(&mut self, base: u64, change_id: &str, digest: &str, patch: &str, source: Option<String>) -> CallResult<ConfigurationAccepted> {
+    pub(crate) fn patch_configuration(
+        &mut self,
+        base: u64,
+        change_id: &str,
+        digest: &str,
+        patch: &str,
+        source: Option<String>,
+    ) -> CallResult<ConfigurationAccepted> {
         let c = &self.state.configuration;
         if let Some(o) = c.applied(change_id) {
             ensure!(o.digest.to_string() == digest, call_error::conflict("change", change_id));
@@ -51,7 +58,13 @@
     }
 
     /// A whole tree of settings.
-    pub(crate) fn put_configuration(&mut self, base: u64, change_id: &str, tree: &[u8], source: Option<String>) -> CallResult<ConfigurationAccepted> {
+    pub(crate) fn put_configuration(
+        &mut self,
+        base: u64,
+        change_id: &str,
+        tree: &[u8],
+        source: Option<String>,
+    ) -> CallResult<ConfigurationAccepted> {
         let o = self.state.configuration.put(base, change_id, tree).map_err(call_error::of_put)?;
         if !o.already_applied {
             let at = self.now();
@@ -85,7 +98,10 @@
         let Some((_, most, _, failures)) = self.queue_bounds(&spec.queue) else {
             return Err(fault("queue", format!("no zone has an enabled queue named {}", spec.queue)).build());
         };
-        ensure!(u64::from(spec.allowed_failures.unwrap_or(0)) <= failures, fault("allowed_failures", format!("the queue allows at most {failures}")));
+        ensure!(
+            u64::from(spec.allowed_failures.unwrap_or(0)) <= failures,
+            fault("allowed_failures", format!("the queue allows at most {failures}"))
+        );
         let serves = |z: &Name| {
             let q = self.queue_settings(z, &spec.queue);
             q.is_some_and(|q| match spec.service.is_empty() {
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -8,13 +8,13 @@
 pub use std::sync::{Arc, LazyLock};
 
 pub use cluster_messages::prelude::{
-    AnswerBody, AttemptCheckpoint, AttemptId, BandSummary, CallBody, CallError, CallResult, CancelJob, ClusterStatus, Configuration, ConfigurationAccepted,
-    ConfigurationChange, ConfigurationHistoryList, ConfigurationUpdate, ControlCall, DrainWorker, EffectiveSettings, EffectiveValue,
-    EndedAttempt, EvacuateZone, Fault, GatewayFrame, GatewaySummary, GetEffectiveSettings, JobAccepted, JobCancelled, JobChange,
-    JobExplanation, JobList, JobNumber, JobSpec, JobState, JobStatus, JobSummary, ListJobs, ListWorkers, MemberChanged, MemberList,
-    MemberSummary, Millis, Name, Outcome, Payload, PutConfiguration, StepId, QueueList, QueueUse, RegisterWorker, RemoveWorker, SchedulerFrame,
-    StartOrder, StepSpec, StepStatus, StopOrder, TaskCounts, TaskId, ViewUpdate, WIRE_VERSION, WireError, WireMessage, WorkerDrained,
-    WorkerFacts, WorkerList, WorkerRegistered, WorkerRemoved, WorkerSummary, ZoneEvacuated,
+    AnswerBody, AttemptCheckpoint, AttemptId, BandSummary, CallBody, CallError, CallResult, CancelJob, ClusterStatus, Configuration,
+    ConfigurationAccepted, ConfigurationChange, ConfigurationHistoryList, ConfigurationUpdate, ControlCall, DrainWorker, EffectiveSettings,
+    EffectiveValue, EndedAttempt, EvacuateZone, Fault, GatewayFrame, GatewaySummary, GetEffectiveSettings, JobAccepted, JobCancelled,
+    JobChange, JobExplanation, JobList, JobNumber, JobSpec, JobState, JobStatus, JobSummary, ListJobs, ListWorkers, MemberChanged,
+    MemberList, MemberSummary, Millis, Name, Outcome, Payload, PutConfiguration, QueueList, QueueUse, RegisterWorker, RemoveWorker,
+    SchedulerFrame, StartOrder, StepId, StepSpec, StepStatus, StopOrder, TaskCounts, TaskId, ViewUpdate, WIRE_VERSION, WireError,
+    WireMessage, WorkerDrained, WorkerFacts, WorkerList, WorkerRegistered, WorkerRemoved, WorkerSummary, ZoneEvacuated,
 };
 pub use declared_settings::prelude::{
     ConfigurationHistory, ConfigurationSettings, EffectiveQueue, EffectiveTree, HistoryEntry, Patch, PutError, QueueSettings, SettingsTree,
--- a/crates/scheduler-core/src/queries.rs
+++ b/crates/scheduler-core/src/queries.rs
@@ -116,7 +116,12 @@
     /// The tree in force.
     pub fn get_configuration(&self) -> Configuration {
         let c = &self.configuration;
-        Configuration { version: c.version(), digest: c.digest().to_string(), tree: Payload(c.tree().to_value()), source: self.tables.configuration_source.clone() }
+        Configuration {
+            version: c.version(),
+            digest: c.digest().to_string(),
+            tree: Payload(c.tree().to_value()),
+            source: self.tables.configuration_source.clone(),
+        }
     }
 
     /// The newest changes, the newest first.
--- a/crates/scheduler-core/src/scheduler_members.rs
+++ b/crates/scheduler-core/src/scheduler_members.rs
@@ -207,7 +207,6 @@
         lost.map(|(id, _)| MembershipChange::Remove { id: *id })
     }
 
-
     /// An operator's change of the members.
     pub(crate) fn change_member(&mut self, now: Millis, w: (ChannelId, u64), id: u64, change: MembershipChange) {
         let result = self.replica.membership().changed(&change);
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -290,8 +290,11 @@
             );
             n = n.min(times(cap.sub(mine)));
             if urgency < self.state.tables.rules.urgent_from {
-                let reserve =
-                    self.state.effective.zone(zone).map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
+                let reserve = self
+                    .state
+                    .effective
+                    .zone(zone)
+                    .map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
                 let all = used.add(self.zones.get(zone).copied().unwrap_or_default());
                 n = n.min(times(ratio(*room, 1.0 - reserve).sub(all)));
             }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -43,7 +43,11 @@
                 | Event::RulesChanged { .. }
                 | Event::JobDue { .. }
                 | Event::AttemptChecked { .. }
-                | Event::GangOut { .. } | Event::GangRunOver { .. } | Event::CheckpointSeen { .. } | Event::WorkerLeaving { .. } | Event::StepDone { .. } => {}
+                | Event::GangOut { .. }
+                | Event::GangRunOver { .. }
+                | Event::CheckpointSeen { .. }
+                | Event::WorkerLeaving { .. }
+                | Event::StepDone { .. } => {}
                 Event::JobEnding { job, .. } | Event::JobOver { job, .. } => {
                     jobs.insert(*job);
                 }
--- a/crates/scheduler-core/tests/fuzz_test.rs
+++ b/crates/scheduler-core/tests/fuzz_test.rs
@@ -12,10 +12,11 @@
         zone: "z1".into(),
         cpu_millis: 8_000,
         memory_mb: 8_000,
+        ..RegisterWorker::default()
     };
     let attached = Command::GatewayAttached { name: "g".into(), instance: 1, zone: "z1".into(), http_address: "a".into() };
     let submit = Command::Submit { spec: JobSpec::single("j", "q", "s", 3, 100, 100), due_in_ms: 0 };
-    let start = Command::Start { starts: vec![(TaskId { job: 1, step: 0, index: 0 }, 0)], gang: false };
+    let start = Command::Start { starts: vec![(TaskId::new(1, 0, 0), 0)], gang: false };
     let commands = vec![attached, Command::Register(told), submit, start];
     l.apply(1, 10, CommandBatch { proposer: 1, number: 1, commands });
     assert_eq!(l.state.tables.attempts.len(), 1);
@@ -54,21 +55,24 @@
         let mut now = 20;
         for (what, x, y) in steps {
             now += u64::from(*y) * 20;
-            let task = TaskId { job: u64::from(x % 4), step: u16::from(y % 2), index: u32::from(y % 4) };
+            let task = TaskId::new(u64::from(x % 4), u16::from(y % 2), u32::from(y % 4));
             let attempt = AttemptId { task, number: u16::from(x % 3) };
             let mut f = WorkerFacts { worker: "w".into(), boot_id: format!("b{}", y % 3), ..WorkerFacts::default() };
             let outcome = [Outcome::Succeeded, Outcome::Failed, Outcome::Stopped][*x as usize % 3];
             let c = match what % 9 {
                 0 => Command::Submit {
-                    spec: JobSpec { allowed_failures: 2, ..JobSpec::single(&format!("j{x}"), "q", "s", u32::from(y % 5) + 1, 900, 900) },
-                    due_in_ms: u64::from(*x),
+                    spec: JobSpec {
+                        allowed_failures: Some(2),
+                        ..JobSpec::single(&format!("j{x}"), "q", "s", u32::from(y % 5) + 1, 900, 900)
+                    },
+                    due_in_ms: i64::from(*x),
                 },
                 1 => Command::Cancel(CancelJob { name: format!("j{x}") }),
                 2 => Command::Start { starts: vec![(task, u32::from(x % 2)), (task, 0)], gang: y % 2 == 0 },
-                3 => Command::Drain(DrainWorker { name: "w".into(), on: x % 2 == 0, order_id: None }),
+                3 => Command::Drain(DrainWorker { name: "w".into(), on: x % 2 == 0, order_id: None, ..DrainWorker::default() }),
                 4 => Command::Remove(RemoveWorker { name: "w".into(), declare_lost: x % 2 == 0 }),
                 5 => {
-                    f.ended.push(EndedAttempt { attempt, outcome, ran_ms: 1 });
+                    f.ended.push(EndedAttempt { ran_ms: 1, ..EndedAttempt::new(attempt, outcome) });
                     Command::Facts(f)
                 }
                 6 => {
--- a/crates/scheduler-core/tests/gang_end_test.rs
+++ b/crates/scheduler-core/tests/gang_end_test.rs
@@ -15,12 +15,13 @@
         zone: "z1".into(),
         cpu_millis: 8_000,
         memory_mb: 16_000,
+        ..RegisterWorker::default()
     };
     let gateway = Command::GatewayAttached { name: "g1".into(), instance: 7, zone: "z1".into(), http_address: "10.0.1.1:80".into() };
     apply(&mut l, 10, vec![gateway, Command::Register(worker), Command::Submit { spec, due_in_ms: 0 }]);
     let job = l.state.job("plan-1").unwrap().number;
     let worker = l.state.worker("w1").unwrap().0;
-    let starts = (0..2).map(|index| (TaskId { job, step: 0, index }, worker)).collect();
+    let starts = (0..2).map(|index| (TaskId::new(job, 0, index), worker)).collect();
     apply(&mut l, 20, vec![Command::Start { starts, gang: true }]);
     assert_eq!((l.state.tables.attempts.len(), l.state.gangs.len()), (2, 1));
     l
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -29,6 +29,7 @@
             zone: "z1".into(),
             cpu_millis: 8_000,
             memory_mb: 16_000,
+            ..RegisterWorker::default()
         }
     }
 
@@ -71,7 +72,7 @@
 
     fn ended(&mut self, t: TaskId, outcome: Outcome) {
         let (a, w) = (self.id(t), self.ledger.state.worker_name(self.attempt(t).unwrap().worker));
-        self.facts(&w, "b1", |f| f.ended.push(EndedAttempt { attempt: a, outcome, ran_ms: 5 }));
+        self.facts(&w, "b1", |f| f.ended.push(EndedAttempt { ran_ms: 5, ..EndedAttempt::new(a, outcome) }));
     }
 
     fn started(&mut self, t: TaskId) {
@@ -141,7 +142,7 @@
 fn a_task_is_tried_as_often_as_allowed_and_elsewhere_first() {
     let mut b = Bench::new(2);
     let mut spec = job("j", 1);
-    spec.allowed_failures = 2;
+    spec.allowed_failures = Some(2);
     b.submit(spec);
     let mut workers = Vec::new();
     for _ in 0..3 {
@@ -169,7 +170,7 @@
 fn room_is_never_given_twice() {
     let mut b = Bench::new(1);
     let n = b.submit(job("j", 20));
-    let starts: Vec<_> = (0..20).map(|index| (TaskId { job: n, step: 0, index }, 0)).collect();
+    let starts: Vec<_> = (0..20).map(|index| (TaskId::new(n, 0, index), 0)).collect();
     b.one(Command::Start { starts, gang: false });
     assert_eq!(b.used(), 8_000);
     assert_eq!(b.ledger.state.tables.attempts.len(), 8);
@@ -295,12 +296,12 @@
     b.submit(job("j", 2));
     let out = b.plan();
     b.started(out[0].0);
-    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: true, order_id: None }));
+    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: true, order_id: None, ..DrainWorker::default() }));
     assert_eq!(b.attempt(out[0].0).unwrap().stop, None, "what runs may end");
     assert_eq!(b.attempt(out[1].0).unwrap().stop, Some(StopReason::Draining));
     b.submit(job("k", 1));
     assert!(b.plan().is_empty());
-    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: false, order_id: None }));
+    b.one(Command::Drain(DrainWorker { name: "w0".into(), on: false, order_id: None, ..DrainWorker::default() }));
     let order = |on, id: &str| Command::Evacuate(EvacuateZone { zone: "z1".into(), on, order_id: id.into() });
     b.one(order(true, "o1"));
     assert!(b.plan().is_empty());
@@ -348,7 +349,7 @@
     let mut b = Bench::new(3);
     for i in 0..30 {
         let mut s = if i % 3 == 0 { gang(&format!("j{i}"), 2) } else { job(&format!("j{i}"), 2) };
-        s.allowed_failures = 1;
+        s.allowed_failures = Some(1);
         b.submit(s);
         let out = b.plan();
         for (n, (t, _)) in out.iter().enumerate() {
@@ -377,7 +378,7 @@
 fn urgent_work_goes_first_and_a_mass_of_impossible_jobs_hinders_nobody() {
     let mut b = Bench::new(1);
     let tree = br#"{"regions":{"r":{"zones":{"z1":{"queues":{"q":{"settings":{"urgency":8}},"slow":{"settings":{"urgency":1}}}}}}}}"#;
-    b.one(Command::PutConfiguration { base_version: 0, change_id: "c".into(), tree: tree.to_vec() });
+    b.one(Command::PutConfiguration { base_version: 0, change_id: "c".into(), tree: tree.to_vec(), source: None });
     for i in 0..500 {
         let mut s = job(&format!("never-{i}"), 1);
         s.steps[0].cpu_millis = 100_000;
@@ -398,8 +399,12 @@
 #[test]
 fn racing_resent_and_invalid_configurations_are_answered_by_type() {
     let mut b = Bench::new(1);
-    let put =
-        |base, id: &str, text: &str| Command::PutConfiguration { base_version: base, change_id: id.into(), tree: text.as_bytes().to_vec() };
+    let put = |base, id: &str, text: &str| Command::PutConfiguration {
+        base_version: base,
+        change_id: id.into(),
+        tree: text.as_bytes().to_vec(),
+        source: None,
+    };
     let one = r#"{"settings":{"urgency":1}}"#;
     assert!(matches!(b.one(put(0, "a", one)), Some(Ok(AnswerBody::PutConfiguration(c))) if c.version == 1 && !c.already));
     assert!(matches!(b.one(put(0, "b", r#"{"settings":{"urgency":2}}"#)), Some(Err(CallError::RacedBase { base: 0, current: 1 }))));
@@ -422,7 +427,7 @@
     let mut b = Bench::new(1);
     b.submit(job("j", 1));
     let (t, _) = b.plan()[0];
-    b.one(Command::Rules { hold_interval_ms: 100, voters: 3 });
+    b.one(Command::Rules { hold_interval_ms: 100, voters: 3, gang_wait_ms: 800, first_class_ms: 60_000 });
     assert_eq!(b.ledger.state.tables.rules.voters, 3);
     b.now += 250;
     b.one(Command::Advance);
@@ -479,7 +484,7 @@
 #[test]
 fn an_old_copy_of_a_drain_order_changes_nothing() {
     let mut b = Bench::new(1);
-    let order = |on, id: &str| Command::Drain(DrainWorker { name: "w0".into(), on, order_id: Some(id.into()) });
+    let order = |on, id: &str| Command::Drain(DrainWorker { name: "w0".into(), on, order_id: Some(id.into()), ..DrainWorker::default() });
     b.one(order(true, "o1"));
     b.one(order(false, "o2"));
     b.one(order(true, "o3"));
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -52,15 +52,15 @@
         c.voters = s.voters as usize;
         c.gateway_silence_ms = s.gateway_silence_ms;
         c.hold_interval_ms = s.hold_interval_ms;
-        c.log.sled_cache_bytes = s.disk_cache_kb << 10;
+        c.log.store_cache_bytes = s.disk_cache_kb << 10;
         c
     }
 
     /// Opens the store; a fresh one gets an id of its own, so that a lost disk never comes back as its old self.
-    fn open(&self, c: &SchedulerSettings) -> Result<(SledLogStorage, u64, RestoredState), DaemonError> {
+    fn open(&self, c: &SchedulerSettings) -> Result<(DiskLogStorage, u64, RestoredState), DaemonError> {
         let folder = self.settings.data_folder.as_ref().context(crate::daemon_error::NoDataFolderSnafu)?;
         let folder = PathBuf::from(folder).join("log");
-        let mut storage = SledLogStorage::open(&folder, &c.log).context(crate::daemon_error::StorageSnafu)?;
+        let mut storage = DiskLogStorage::open(&folder, &c.log).context(crate::daemon_error::StorageSnafu)?;
         let id = match storage.identity().context(crate::daemon_error::StorageSnafu)? {
             Some(id) => id,
             None => {
--- a/crates/scheduler/src/disk_writer.rs
+++ b/crates/scheduler/src/disk_writer.rs
@@ -10,7 +10,7 @@
 
 impl DiskWriter {
     /// Starts the thread; each group's last ticket goes back as an input.
-    pub fn start(mut storage: SledLogStorage, inputs: mpsc::Sender<SchedulerInput>) -> Result<Self, DaemonError> {
+    pub fn start(mut storage: DiskLogStorage, inputs: mpsc::Sender<SchedulerInput>) -> Result<Self, DaemonError> {
         let (requests, inbox) = std::sync::mpsc::channel::<PersistRequest>();
         let run = move || {
             while let Ok(first) = inbox.recv() {
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -15,10 +15,10 @@
 pub use futures::StreamExt;
 pub use metrics::{counter, gauge};
 pub use process_plumbing::prelude::{
-    Channel, ChannelInbox, Clock, DaemonSettings, IncomingChannel, LogFormat, MetricsPage, MonotonicClock, PlumbingError, daemon_runtime,
-    dial, init_logs, listen, SettingsSource, shutdown_signal,
+    Channel, ChannelInbox, Clock, DaemonSettings, IncomingChannel, LogFormat, MetricsPage, MonotonicClock, PlumbingError, SettingsSource,
+    daemon_runtime, dial, init_logs, listen, shutdown_signal,
 };
-pub use replicated_log::prelude::{LogStorage, PersistRequest, RestoredState, SledLogStorage, StorageError};
+pub use replicated_log::prelude::{DiskLogStorage, LogStorage, PersistRequest, RestoredState, StorageError};
 pub use scheduler_core::prelude::{ChannelId, HaltReason, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings, StateError};
 pub use snafu::{OptionExt, ResultExt, Snafu};
 pub use tokio::sync::{mpsc, oneshot};
--- a/crates/worker-stand-in/src/control_server.rs
+++ b/crates/worker-stand-in/src/control_server.rs
@@ -70,7 +70,7 @@
     let (h, q) = (host_of(&hosts, &req)?, query::<DrainQuery>(&req)?);
     let on = q.on.unwrap_or(true);
     let name = h.drain(on).await;
-    Ok(json_response(StatusCode::OK, &DrainWorker { name, on, order_id: None }))
+    Ok(json_response(StatusCode::OK, &DrainWorker { name, on, order_id: None, ..DrainWorker::default() }))
 }
 
 async fn get_observations(recorder: Arc<Recorder>, req: Request) -> Result<Response, CallError> {
--- a/crates/worker-stand-in/src/prelude.rs
+++ b/crates/worker-stand-in/src/prelude.rs
@@ -15,7 +15,7 @@
 pub use fleet_oracle::{JobAccepted, JobSpec, JobState, Observation, Oracle, OracleBounds, RecordedObservation, Rule, Verdict};
 pub use futures::FutureExt;
 pub use getopts::Options;
-pub use process_plumbing::{Clock, HttpCaller, HttpOutcome, shutdown_signal};
+pub use process_plumbing::{Clock, HttpCaller, HttpOutcome, HttpPost, shutdown_signal};
 pub use rand::{Rng, SeedableRng};
 pub use rand_chacha::ChaCha8Rng;
 pub use serde::de::DeserializeOwned;
--- a/crates/worker-stand-in/src/worker_host.rs
+++ b/crates/worker-stand-in/src/worker_host.rs
@@ -130,7 +130,10 @@
         let gateway = self.gateways.get(i % self.gateways.len().max(1))?;
         let caller = HttpCaller::new(self.from.ip(), self.clock, OPEN_BUDGET);
         let body = serde_json::to_vec(body).ok()?;
-        match caller.post(HttpPost { address: gateway, path, headers: &[], body: body.into(), leave_by: None }, CALL_BUDGET, MAX_ANSWER).await {
+        match caller
+            .post(HttpPost { address: gateway, path, headers: &[], body: body.into(), leave_by: None }, CALL_BUDGET, MAX_ANSWER)
+            .await
+        {
             HttpOutcome::Answer(status, b) if status.is_success() => Some(b),
             _ => None,
         }
@@ -144,7 +147,7 @@
         let path = format!("/v1/workers/{worker}/drain");
         // One order, however often it is sent.
         let order_id = Some(format!("{worker}-{on}-{}", self.now()));
-        let body = DrainWorker { name: worker.clone(), on, order_id };
+        let body = DrainWorker { name: worker.clone(), on, order_id, ..DrainWorker::default() };
         loop {
             let answer = self.call(&path, &body).await.and_then(|b| serde_json::from_slice::<WorkerDrained>(&b).ok());
             if answer.is_some_and(|a| a.draining == on) {
--- a/crates/worker-stand-in/src/worker_identity.rs
+++ b/crates/worker-stand-in/src/worker_identity.rs
@@ -41,6 +41,7 @@
             zone: self.zone.clone(),
             cpu_millis: self.cpu_millis,
             memory_mb: self.memory_mb,
+            ..RegisterWorker::default()
         }
     }
 
--- a/crates/worker-stand-in/src/worker_model.rs
+++ b/crates/worker-stand-in/src/worker_model.rs
@@ -267,7 +267,7 @@
     fn start_answer(&mut self, token: Option<Token>, attempt: AttemptId, result: StartResult) {
         let Some(token) = token else { return };
         let boot_id = self.identity.boot_id.clone();
-        self.answer(token, WorkerAnswer::Start(StartAnswer { attempt, result, boot_id }));
+        self.answer(token, WorkerAnswer::Start(StartAnswer { attempt, result, boot_id, clock_ms: None }));
     }
 
     /// The token, unless this order's answer is to be lost.
@@ -309,14 +309,14 @@
         let (hit, rest): (Vec<Run>, Vec<Run>) = std::mem::take(&mut self.runs).into_iter().partition(|r| r.attempt == attempt);
         self.runs = rest;
         let ran = hit.iter().any(Run::runs);
-        let known = self.ended.get(&attempt).or_else(|| self.remembered.iter().find(|e| e.attempt == attempt)).copied();
+        let known = self.ended.get(&attempt).or_else(|| self.remembered.iter().find(|e| e.attempt == attempt)).cloned();
         for r in hit {
             match r.phase {
                 Phase::Ordered { token, .. } => self.start_answer(token, attempt, StartResult::Void),
                 Phase::Running { started, .. } => self.end(now, r.attempt, r.job_name, started, Outcome::Stopped),
             }
         }
-        let result = match known {
+        let result = match &known {
             _ if ran => StopResult::Stopped,
             Some(e) if e.outcome == Outcome::Stopped => StopResult::Stopped,
             Some(_) => StopResult::Ended,
@@ -328,7 +328,7 @@
         let ended = known.filter(|_| result == StopResult::Ended);
         if let Some(token) = token {
             let boot_id = self.identity.boot_id.clone();
-            self.answer(token, WorkerAnswer::Stop(StopAnswer { attempt, result, boot_id, ended }));
+            self.answer(token, WorkerAnswer::Stop(StopAnswer { attempt, result, boot_id, ended, clock_ms: None }));
         }
     }
 
@@ -357,11 +357,14 @@
         for h in due {
             let unchanged = h.seen == change;
             let (running, ended) =
-                if unchanged { (Vec::new(), Vec::new()) } else { (self.running(), self.ended.values().copied().collect()) };
+                if unchanged { (Vec::new(), Vec::new()) } else { (self.running(), self.ended.values().cloned().collect()) };
             let (worker, boot_id) = (self.identity.name.clone(), self.identity.boot_id.clone());
             let draining = self.behaviour.draining;
             self.registration.held(now);
-            self.answer(h.token, WorkerAnswer::Hold(HoldAnswer { worker, boot_id, change, draining, unchanged, running, ended }));
+            self.answer(
+                h.token,
+                WorkerAnswer::Hold(HoldAnswer { worker, boot_id, change, draining, unchanged, running, ended, ..HoldAnswer::default() }),
+            );
         }
     }
 
@@ -410,7 +413,7 @@
 
     fn end(&mut self, now: Millis, attempt: AttemptId, job_name: Name, started: Millis, outcome: Outcome) {
         self.change += 1;
-        self.ended.insert(attempt, EndedAttempt { attempt, outcome, ran_ms: now.saturating_sub(started) });
+        self.ended.insert(attempt, EndedAttempt { ran_ms: now.saturating_sub(started), ..EndedAttempt::new(attempt, outcome) });
         self.job_names.insert(attempt, job_name.clone());
         let (worker, boot) = (self.identity.name.clone(), self.identity.boot_id.clone());
         self.observe(Observation::RunEnded { worker, boot, attempt, job_name, outcome });
--- a/crates/worker-stand-in/tests/http.rs
+++ b/crates/worker-stand-in/tests/http.rs
@@ -62,6 +62,9 @@
     let c = Caller { client: hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new()).build_http() };
 
     let start = StartOrder {
+        checkpoint: None,
+        lease_until_ms: None,
+        estimate_ms: 0,
         gang_by_ms: None,
         attempt: "1.0.0.1".parse().unwrap(),
         term: 1,
--- a/crates/worker-stand-in/tests/judged.rs
+++ b/crates/worker-stand-in/tests/judged.rs
@@ -44,7 +44,7 @@
     let new =
         |i: usize| WorkerModel::new(WorkerIdentity::example(&format!("w{i}")).registration("b0"), Behaviour::default(), seed + i as u64);
     let mut workers: Vec<WorkerModel> = (0..WORKERS).map(new).collect();
-    let spec = JobSpec { allowed_failures: 2, ..JobSpec::single("j", "holds", "booking", TASKS, 1_000, 1_000) };
+    let spec = JobSpec { allowed_failures: Some(2), ..JobSpec::single("j", "holds", "booking", TASKS, 1_000, 1_000) };
     oracle.observe(0, Observation::JobSent { spec });
     let accepted = JobAccepted { name: "j".into(), job: 1, state: JobState::Waiting, already: false };
     oracle.observe(0, Observation::JobAnswered { name: "j".into(), answer: Ok(accepted) });
@@ -71,7 +71,7 @@
                     if wrong == Wrong::TriesAgainUnproven {
                         t.out = None;
                     } else {
-                        outbox.push((w, WorkerInput::Stop { token, order: StopOrder { attempt, worker: format!("w{w}") } }));
+                        outbox.push((w, WorkerInput::Stop { token, order: StopOrder { attempt, worker: format!("w{w}"), term: 0 } }));
                     }
                 }
             } else {
@@ -97,7 +97,14 @@
         }
         for w in 0..WORKERS {
             token += 1;
-            let hold = HoldOrder { worker: format!("w{w}"), gateway: "g".into(), seen: 0, wait_ms: 0, acknowledged: Vec::new() };
+            let hold = HoldOrder {
+                worker: format!("w{w}"),
+                gateway: "g".into(),
+                seen: 0,
+                wait_ms: 0,
+                acknowledged: Vec::new(),
+                ..HoldOrder::default()
+            };
             outbox.push((w, WorkerInput::Hold { token, order: hold }));
         }
         for (w, input) in std::mem::take(&mut outbox) {
--- a/crates/worker-stand-in/tests/model.rs
+++ b/crates/worker-stand-in/tests/model.rs
@@ -12,6 +12,9 @@
 
 fn start(token: Token, a: &str, run_ms: Millis) -> WorkerInput {
     let order = StartOrder {
+        checkpoint: None,
+        lease_until_ms: None,
+        estimate_ms: 0,
         gang_by_ms: None,
         attempt: attempt(a),
         term: 1,
@@ -29,12 +32,15 @@
 }
 
 fn stop(token: Token, a: &str) -> WorkerInput {
-    WorkerInput::Stop { token, order: StopOrder { attempt: attempt(a), worker: W.into() } }
+    WorkerInput::Stop { token, order: StopOrder { attempt: attempt(a), worker: W.into(), term: 0 } }
 }
 
 fn hold(token: Token, seen: u64, acknowledged: &[&str]) -> WorkerInput {
     let acknowledged = acknowledged.iter().map(|a| attempt(a)).collect();
-    WorkerInput::Hold { token, order: HoldOrder { worker: W.into(), gateway: "g1".into(), seen, wait_ms: 2_000, acknowledged } }
+    WorkerInput::Hold {
+        token,
+        order: HoldOrder { worker: W.into(), gateway: "g1".into(), seen, wait_ms: 2_000, acknowledged, ..HoldOrder::default() },
+    }
 }
 
 /// What a step says about answers: `token:result`, `token:-` for silence.
