--- a/crates/cluster-messages/src/job_spec.rs
+++ b/crates/cluster-messages/src/job_spec.rs
@@ -30,7 +30,8 @@
     #[n(6)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub start_after_ms: Option<u64>,
-    /// How many times each of its tasks may fail and be tried again; absent: as often as its queue allows.
+    /// How many times each of its tasks may fail and be tried again; absent: as often as its queue allows, and without limit
+    /// for work that has no end of its own.
     #[n(7)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub allowed_failures: Option<u32>,
@@ -115,6 +116,10 @@
     #[n(14)]
     #[serde(default)]
     pub estimate_ms: Millis,
+    /// True for a gang whose members end together: one good end stands for all, and a run fails as a whole.
+    #[n(15)]
+    #[serde(default)]
+    pub ends_together: bool,
 }
 
 /// A job whose steps run several times. Occurrences may overlap.
--- a/crates/cluster-messages/src/worker_calls.rs
+++ b/crates/cluster-messages/src/worker_calls.rs
@@ -76,7 +76,7 @@
     pub leaves_in_ms: Option<Millis>,
     /// With a drain: the worker is about to end, and is forgotten once nothing of it runs.
     #[n(4)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub leaves: bool,
 }
 
--- a/crates/declared-settings/src/queue_settings.rs
+++ b/crates/declared-settings/src/queue_settings.rs
@@ -29,10 +29,6 @@
         allowed_failures_max: u64 = 10, check(Integers(0, 1000)), unit "attempts";
         /// Where its jobs come in: host and path prefix, as `host/prefix/`.
         ingress: Vec<String> = [], check(Most(64));
-        /// The time that its jobs may take beyond a multiple of their longest chain of work.
-        target_latency_ms: u64 = 10000, check(Integers(0, 86400000)), unit "ms";
-        /// That multiple.
-        stretch: f64 = 2.0, check(Numbers(0.0, 1000000.0)), unit "ratio";
         /// The time within which a task should start once its job is accepted.
         start_time_budget_ms: u64 = 10000, check(Integers(1, 86400000)), unit "ms";
     }
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -273,18 +273,19 @@
         let Some(s) = j.step(id) else { return };
         let st = &spec.steps[task.step as usize];
         let (gang, tasks, was_ending) = (st.gang, st.tasks, j.ending.is_some());
-        let lasting = spec.run_until_cancelled;
+        let together = gang && st.ends_together;
+        let lasting = spec.run_until_cancelled && spec.allowed_failures.is_none();
         let how = match how {
             // Whatever has no end of its own is started again however it ends.
             TaskEvent::Succeeded | TaskEvent::Failed if lasting => TaskEvent::Lost,
             // One member's good end stands for its whole gang.
-            _ if gang && s.gang_done => TaskEvent::Succeeded,
+            _ if together && s.gang_done => TaskEvent::Succeeded,
             other => other,
         };
-        let failures = if gang { s.gang_failures } else { s.tasks.get(task.index as usize).map_or(0, |t| t.failures) };
+        let failures = if together { s.gang_failures } else { s.tasks.get(task.index as usize).map_or(0, |t| t.failures) };
         let given_up = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures.unwrap_or(0);
         let how = if given_up { TaskEvent::GivenUp } else { how };
-        if gang && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed) && !s.gang_done {
+        if together && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed) && !s.gang_done {
             self.emit(Event::GangRunOver { step: id, well: how == TaskEvent::Succeeded });
         }
         self.emit(Event::AttemptOver { task, how, at });
--- a/crates/scheduler-core/src/ledger_jobs.rs
+++ b/crates/scheduler-core/src/ledger_jobs.rs
@@ -83,7 +83,7 @@
             let service = zones.filter_map(|z| self.queue_settings(z, &spec.queue)?.settings.services.first().cloned()).next();
             spec.service = service.unwrap_or_default();
         }
-        if spec.allowed_failures.is_none() {
+        if spec.allowed_failures.is_none() && !spec.run_until_cancelled {
             let most = self.queue_bounds(&spec.queue).map_or(0, |b| b.3);
             spec.allowed_failures = Some(most.min(u64::from(u32::MAX)) as u32);
         }
--- a/crates/scheduler-core/src/scheduler_input.rs
+++ b/crates/scheduler-core/src/scheduler_input.rs
@@ -37,6 +37,22 @@
     Leave,
 }
 
+impl SchedulerInput {
+    /// Its sort, for the log.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            SchedulerInput::Tick { .. } => "tick",
+            SchedulerInput::Peer(_) => "peer",
+            SchedulerInput::GatewayUp(_) => "gateway up",
+            SchedulerInput::Gateway(..) => "gateway",
+            SchedulerInput::GatewayDown(_) => "gateway down",
+            SchedulerInput::Persisted(_) => "persisted",
+            SchedulerInput::Call { .. } => "call",
+            SchedulerInput::Leave => "leave",
+        }
+    }
+}
+
 /// What an executor must do, in this order.
 #[derive(Clone, Debug)]
 pub enum SchedulerEffect {
--- a/crates/scheduler-core/src/scheduler_settings.rs
+++ b/crates/scheduler-core/src/scheduler_settings.rs
@@ -44,6 +44,9 @@
         // Nothing reads a follower's state: it may learn of commits with what comes next.
         log.push_commits = false;
         log.max_uncommitted_bytes = 2 * MOST_COMMAND_BYTES;
+        // What a restart applies again before it can serve is bounded by this.
+        log.snapshot_after_bytes = SNAPSHOT_BATCHES * LOG_BATCH_BYTES;
+        log.kept_tail_bytes = SNAPSHOT_BATCHES * LOG_BATCH_BYTES / 4;
         SchedulerSettings {
             cluster: cluster.to_owned(),
             address: address.to_owned(),
@@ -82,6 +85,8 @@
 
 /// Bytes of one append.
 const LOG_BATCH_BYTES: usize = 64 << 10;
+/// Log bytes after which a snapshot is due, in batches.
+const SNAPSHOT_BATCHES: usize = 8;
 /// Largest command: a whole tree of settings with room to spare.
 const MOST_COMMAND_BYTES: usize = 8 << 20;
 /// Silence of a gateway, in election timeouts.
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -10,6 +10,8 @@
 
 /// Ticks of the core in one election timeout.
 const TICKS_A_TIMEOUT: u64 = 40;
+/// A step that takes longer than this part of an election timeout is told in the log.
+const SLOW_STEP_PART: u64 = 10;
 /// Inputs that wait for the core at most.
 const INBOX: usize = 8_192;
 /// How long a handover may hold up the end of the process, as a part of an election timeout.
@@ -108,6 +110,7 @@
         let mut replies: BTreeMap<u64, oneshot::Sender<CallResult<AnswerBody>>> = BTreeMap::new();
         let mut last_call = 0;
         let mut leader_told = None;
+        let mut members_told = MemberNews::default();
         let mut ticks = tokio::time::interval(budget / TICKS_A_TIMEOUT as u32);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         let mut peers = PeerLinks::new(self.settings.listen_internal.ip(), budget);
@@ -140,7 +143,14 @@
             if let SchedulerInput::GatewayDown(id) = &input {
                 doors.close(*id);
             }
-            for e in core.step(self.clock.now(), input) {
+            let began = self.clock.now();
+            let kind = input.kind();
+            let effects = core.step(began, input);
+            let took = self.clock.now() - began;
+            if took > c.log.election_timeout_ms / SLOW_STEP_PART {
+                info!(took_ms = took, kind, "slow step");
+            }
+            for e in effects {
                 match e {
                     SchedulerEffect::Persist(r) => disk.write(r)?,
                     SchedulerEffect::Peer { address, bytes } => peers.send(&address, bytes),
@@ -158,6 +168,11 @@
             }
             let now = self.clock.now();
             let leads = core.leader_address(now);
+            let members = MemberNews::of(&core, now);
+            if members != members_told {
+                members.tell();
+                members_told = members;
+            }
             if leads != leader_told {
                 leader.store(leads.as_ref().and_then(|a| a.parse().ok()).map(Arc::new));
                 leader_told = leads;
@@ -175,6 +190,31 @@
     }
 }
 
+/// What the log tells of the members, and whether this one serves: a line for each change.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct MemberNews {
+    voters: Vec<u64>,
+    learners: Vec<u64>,
+    serves: bool,
+}
+
+impl MemberNews {
+    /// As it is now.
+    fn of(core: &Scheduler, now: Millis) -> Self {
+        let m = core.replica().membership();
+        MemberNews {
+            voters: m.voters.keys().copied().collect(),
+            learners: m.learners.keys().copied().collect(),
+            serves: core.is_serving(now),
+        }
+    }
+
+    /// The line.
+    fn tell(&self) {
+        info!(voters = ?self.voters, learners = ?self.learners, serves = self.serves, "members");
+    }
+}
+
 /// The machine's wall clock.
 fn wall_ms() -> Millis {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as Millis)
--- a/crates/worker-stand-in/tests/judged.rs
+++ b/crates/worker-stand-in/tests/judged.rs
@@ -79,6 +79,9 @@
                 t.number += 1;
                 t.out = Some((w, None));
                 let order = StartOrder {
+                    checkpoint: None,
+                    lease_until_ms: None,
+                    estimate_ms: 0,
                     gang_by_ms: None,
                     attempt: AttemptId { number: t.number, ..attempt },
                     term: 1,
