Give a silent worker no longer lease, so that the one it has runs out

Ruled out: lost reports (no lapse was ever told), the drain's stops. Test: lease_test (silent worker; leases of another gateway; late start; other life; observed ends). Conclusion: only a worker that answers is given a longer lease.

--- a/crates/cluster-messages/src/job_spec.rs
+++ b/crates/cluster-messages/src/job_spec.rs
@@ -90,7 +90,7 @@
     pub payload: Payload,
     /// GPUs for each task.
     #[n(8)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub gpus: u64,
     /// Labels that its workers must all bear.
     #[n(9)]
@@ -102,23 +102,23 @@
     pub near_rack: Option<Name>,
     /// Most of its tasks on one worker at once; 0: as many as fit.
     #[n(11)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub most_per_worker: u32,
     /// True: its tasks report checkpoints, and a new attempt goes on from the last one.
     #[n(12)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub checkpoints: bool,
     /// True for a gang that runs faster within one rack.
     #[n(13)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub same_rack: bool,
     /// The caller's guess of how long one task runs; 0: none.
     #[n(14)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub estimate_ms: Millis,
     /// True for a gang whose members end together: one good end stands for all, and a run fails as a whole.
     #[n(15)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub ends_together: bool,
 }
 
--- a/crates/cluster-messages/src/prelude.rs
+++ b/crates/cluster-messages/src/prelude.rs
@@ -33,3 +33,8 @@
 pub type JobNumber = u64;
 /// A name of a node, worker, job, zone, region or queue.
 pub type Name = String;
+
+/// Whether a field holds what stands for its absence, so that it is left out.
+pub(crate) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
--- a/crates/cluster-messages/src/worker_calls.rs
+++ b/crates/cluster-messages/src/worker_calls.rs
@@ -33,7 +33,7 @@
     pub memory_mb: u64,
     /// Its room: GPUs.
     #[n(9)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub gpus: u64,
     /// Labels that steps may ask for.
     #[n(10)]
@@ -41,7 +41,7 @@
     pub labels: Vec<Name>,
     /// True: it runs work only while its lease lasts, and each life of it has a name of its own.
     #[n(11)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub leased: bool,
 }
 
@@ -76,7 +76,7 @@
     pub leaves_in_ms: Option<Millis>,
     /// With a drain: the worker is about to end, and is forgotten once nothing of it runs.
     #[n(4)]
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub leaves: bool,
 }
 
@@ -204,7 +204,7 @@
     pub band: BandSummary,
     /// Whether it runs work only while its lease lasts.
     #[n(17)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub leased: bool,
 }
 
--- a/crates/cluster-messages/src/worker_orders.rs
+++ b/crates/cluster-messages/src/worker_orders.rs
@@ -52,7 +52,7 @@
     pub lease_until_ms: Option<Millis>,
     /// The caller's guess of how long it runs; 0: none.
     #[n(14)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub estimate_ms: Millis,
 }
 
@@ -98,7 +98,7 @@
     pub worker: Name,
     /// The newest term that its sender knows.
     #[n(2)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub term: u64,
 }
 
@@ -183,7 +183,7 @@
     pub ran_ms: Millis,
     /// The worker's count of ends, from 1; 0 where it keeps none.
     #[n(3)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub sequence: u64,
     /// Its last checkpoint, if it made one.
     #[n(4)]
@@ -235,7 +235,7 @@
     pub acknowledged: Vec<AttemptId>,
     /// For a worker that counts its ends: all up to this one are in the log.
     #[n(5)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub observed: u64,
     /// For a worker that takes leases: until when all on it may run, on the worker's own clock.
     #[n(6)]
@@ -243,7 +243,7 @@
     pub lease_until_ms: Option<Millis>,
     /// The newest term that its sender knows.
     #[n(7)]
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub term: u64,
 }
 
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -224,7 +224,9 @@
             return None;
         }
         let (wait_ms, give_up_after_ms) = self.hold_times(s);
-        let lease = if self.leased && p.may_lease { self.lease.grant(now, s.lease()) } else { None };
+        // A worker that doesn't answer gets no longer lease: only then does the one it has run out.
+        let may_lease = self.leased && p.may_lease && self.errors == 0;
+        let lease = if may_lease { self.lease.grant(now, s.lease()) } else { None };
         let order = HoldOrder {
             worker: worker.to_owned(),
             gateway: p.gateway.to_owned(),
--- /dev/null
+++ b/crates/gateway-core/tests/lease_test.rs
@@ -0,0 +1,145 @@
+//! Workers that take leases: what proves that nothing of theirs runs any more.
+
+mod stand;
+
+use gateway_core::prelude::*;
+use stand::*;
+
+/// A gateway that holds one worker with leases of up to 10 s; its first hold is out.
+fn leased() -> Stand {
+    let mut t = Stand::with(GatewaySettings { lease_most_ms: 10_000, hold_interval_ms: 500, ..GatewaySettings::default() });
+    t.attach();
+    let summary = WorkerSummary { leased: true, ..worker(W, W, Some(ME)) };
+    let fx = t.update(|u| u.workers = vec![summary]);
+    assert!(holds(&fx)[0].lease_until_ms.is_none(), "without a reading of its clock no lease can be stated");
+    t
+}
+
+/// Answers the hold that is out with the worker's clock and lists.
+fn answer(t: &mut Stand, clock: Millis, running: &[AttemptId], ended: &[EndedAttempt]) -> Vec<GatewayEffect> {
+    t.held(Reply::Answer(HoldAnswer {
+        worker: W.into(),
+        boot_id: W.into(),
+        change: clock,
+        running: running.to_vec(),
+        ended: ended.to_vec(),
+        clock_ms: Some(clock),
+        ..HoldAnswer::default()
+    }))
+}
+
+/// The holds among effects.
+fn holds(fx: &[GatewayEffect]) -> Vec<HoldOrder> {
+    let hold = |e: &GatewayEffect| match e {
+        GatewayEffect::Hold { order, .. } => Some(order.clone()),
+        _ => None,
+    };
+    fx.iter().filter_map(hold).collect()
+}
+
+/// Time passes, with an elected scheduler at hand.
+fn pass(t: &mut Stand, ms: Millis) -> Vec<GatewayEffect> {
+    let mut all = Vec::new();
+    for _ in 0..ms / 25 {
+        let fx = t.tick(25);
+        if sent(&fx).iter().any(|f| matches!(f, GatewayFrame::Pulse { .. })) {
+            all.extend(t.echo(&fx));
+        }
+        all.extend(fx);
+    }
+    all
+}
+
+/// Time passes, and no hold gets an answer.
+fn silent(t: &mut Stand, ms: Millis) -> Vec<GatewayEffect> {
+    let mut all = t.held(Reply::Unknown);
+    for _ in 0..ms / 25 {
+        let fx = pass(t, 25);
+        for _ in holds(&fx) {
+            all.extend(t.held(Reply::Unknown));
+        }
+        all.extend(fx);
+    }
+    all
+}
+
+/// The end of the lease that a start carries, if one left.
+fn start_lease(fx: &[GatewayEffect]) -> Option<Millis> {
+    fx.iter().find_map(|e| match e {
+        GatewayEffect::Start { order, .. } => order.lease_until_ms,
+        _ => None,
+    })
+}
+
+#[test]
+fn a_silent_workers_lease_runs_out_though_it_is_asked_again_and_again() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[], &[]);
+    let fx = t.give(id(1));
+    assert!(start_lease(&fx) > Some(50_000));
+    t.started(id(1), Reply::Answer(StartResult::Started));
+    answer(&mut t, 50_010, &[id(1)], &[]);
+    // Until the leases are surely over that the gateway before may have given.
+    let mut clock = 50_010;
+    for _ in 0..60 {
+        pass(&mut t, 250);
+        clock += 250;
+        answer(&mut t, clock, &[id(1)], &[]);
+    }
+    let fx = silent(&mut t, 5_000);
+    assert!(holds(&fx).len() > 5);
+    assert!(holds(&fx).iter().all(|h| h.lease_until_ms.is_none()), "who doesn't answer gets no longer lease");
+    let lost: Vec<WorkerFacts> = facts(&fx).into_iter().filter(|f| f.lapsed).collect();
+    assert_eq!(lost.len(), 1, "told once");
+    assert_eq!(lost[0].lost, [id(1)]);
+}
+
+#[test]
+fn leases_of_the_gateway_before_are_waited_for() {
+    let mut t = leased();
+    let fx = silent(&mut t, 10_000);
+    assert!(facts(&fx).iter().all(|f| !f.lapsed), "another gateway may have given a lease until 8 s + 3 s after it was last heard");
+    let fx = silent(&mut t, 4_000);
+    assert!(facts(&fx).iter().any(|f| f.lapsed));
+}
+
+#[test]
+fn a_start_without_an_answer_is_void_once_its_lease_is_over_and_it_isnt_listed() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[], &[]);
+    let fx = t.give(id(1));
+    let until = start_lease(&fx).unwrap();
+    pass(&mut t, 100);
+    let fx = answer(&mut t, until, &[], &[]);
+    assert!(facts(&fx).iter().all(|f| f.voided.is_empty()), "it may still be carried out at that very time");
+    pass(&mut t, 100);
+    let mut fx = answer(&mut t, until + 1, &[], &[]);
+    fx.extend(pass(&mut t, 100));
+    assert!(facts(&fx).iter().any(|f| f.voided == [id(1)]));
+}
+
+#[test]
+fn another_life_at_the_address_proves_the_end_of_all() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[id(1)], &[]);
+    pass(&mut t, 200);
+    let mut fx = t.held(Reply::OtherLife);
+    fx.extend(pass(&mut t, 100));
+    assert!(facts(&fx).iter().any(|f| f.gone && f.lost == [id(1)]));
+}
+
+#[test]
+fn ends_are_observed_only_once_they_are_in_the_log() {
+    let mut t = leased();
+    let end = EndedAttempt { sequence: 7, ..EndedAttempt::new(id(1), Outcome::Succeeded) };
+    let fx = answer(&mut t, 50_000, &[], std::slice::from_ref(&end));
+    let report = facts(&fx);
+    assert_eq!(report[0].ended.len(), 1);
+    let fx = pass(&mut t, 100);
+    assert!(holds(&fx).iter().all(|h| h.observed == 0));
+    answer(&mut t, 50_100, &[], std::slice::from_ref(&end));
+    t.frame(SchedulerFrame::FactsDone { report: 1 });
+    answer(&mut t, 50_200, &[], std::slice::from_ref(&end));
+    let fx = pass(&mut t, 100);
+    assert!(holds(&fx).iter().any(|h| h.observed == 7), "{fx:?}");
+}
