--- a/crates/declared-settings/src/daemon_settings.rs
+++ b/crates/declared-settings/src/daemon_settings.rs
@@ -70,7 +70,7 @@
     ///
     /// ```
     /// use declared_settings::prelude::*;
-    /// let s = DaemonSettings::from_json(&json!({"seeds": ["10.0.0.1:80"], "peer_port": 7720})).unwrap();
+    /// let s = DaemonSettings::from_json(&json!({"node_name": "s1", "seeds": ["10.0.0.1:80"], "peer_port": 7720})).unwrap();
     /// assert_eq!(s.seed_addresses()[0].to_string(), "10.0.0.1:7720");
     /// ```
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/gateway-core/src/ask_rank.rs
+++ b/crates/gateway-core/src/ask_rank.rs
@@ -24,7 +24,7 @@
     ///
     /// ```
     /// use gateway_core::prelude::*;
-    /// let drain = DrainWorker { name: "w".into(), on: true, order_id: None }.into_body();
+    /// let drain = DrainWorker { name: "w".into(), on: true, order_id: None, ..DrainWorker::default() }.into_body();
     /// assert!(AskRank::of(&drain) > AskRank::of(&GetJob { name: "j".into() }.into_body()));
     /// ```
     pub fn of(body: &CallBody) -> Self {
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -645,9 +645,10 @@
         line.voided.extend(void);
         let stopped = self.stops.settle_by_list(worker, left_in, |x| running.contains(&x));
         line.voided.extend(stopped.into_iter().filter(|x| !listed(*x)));
-        let (starts, usual) = (&self.starts, self.settings.stall_patience(Millis::MAX));
+        let usual = Expectation { patience: 2 * self.settings.stall_patience(Millis::MAX), estimate_ms: 0 };
+        let starts = &self.starts;
         if let Some(h) = self.share.get_mut(worker) {
-            let stalled = h.progress(self.now, &a.progress, |x| starts.patience(x).unwrap_or(usual));
+            let stalled = h.progress(self.now, &a.progress, |x| starts.expected(x).unwrap_or(usual));
             self.counters.attempts_stalled += stalled.len() as u64;
             line.stalled.extend(stalled);
         }
--- a/crates/gateway-core/src/gateway_settings.rs
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -14,7 +14,6 @@
     /// The longest lease that workers take; 0 where they take none.
     pub lease_most_ms: Millis,
     /// How long members of a gang wait for each other at their workers.
-    pub gang_wait_ms: Millis,
     /// Most asks that wait for an answer.
     pub inbox: usize,
 }
@@ -27,7 +26,6 @@
             gateway_silence_ms: 3_000,
             hold_interval_ms: 1_000,
             lease_most_ms: 0,
-            gang_wait_ms: 8_000,
             inbox: 4_096,
         }
     }
@@ -61,12 +59,13 @@
 
     /// Longest wait between two dials: a new leader is found soon after it is elected.
     pub fn dial_backoff_most(&self) -> Millis {
-        part(self.election_timeout_ms, 2)
+        part(self.election_timeout_ms, 4)
     }
 
-    /// How long an ask waits for a leader while one is being looked for; then its caller is told when to come back.
+    /// How long an ask waits for a leader while one is being looked for: as long as most elections take, and no longer. Then
+    /// its caller is told when to come back.
     pub fn patience(&self) -> Millis {
-        self.election_timeout_ms
+        self.election_timeout_ms * 5 / 2
     }
 
     /// Oldest view that answers reads.
@@ -101,7 +100,7 @@
 
     /// Least time between two reports of facts.
     pub fn fact_interval(&self) -> Millis {
-        part(self.hold_interval_ms, 10)
+        part(self.hold_interval_ms, 25)
     }
 
     /// Lines of facts that make one report, however soon after the last one.
@@ -126,7 +125,7 @@
 
     /// The lease that a start carries: once it is over, the start can't be carried out any more.
     pub fn start_lease(&self) -> Millis {
-        (self.hold_interval_ms * 2).min(self.lease())
+        self.hold_interval_ms.min(self.lease())
     }
 
     /// Without a word of an elected scheduler for this long, no more leases are given.
@@ -150,6 +149,11 @@
         part(self.hold_interval_ms * 4, 5)
     }
 
+    /// How long tasks that run without an estimate may take for their first hundredths before that tells something.
+    pub fn pace_after(&self) -> Millis {
+        part(self.hold_interval_ms * 2, 5)
+    }
+
     /// How long a task of such an estimate may stand still: half of it, within bounds.
     pub fn stall_patience(&self, estimate_ms: Millis) -> Millis {
         (estimate_ms / 2).clamp(self.hold_interval_ms * 6 / 5, self.hold_interval_ms * 6)
--- a/crates/gateway-core/src/order_gate.rs
+++ b/crates/gateway-core/src/order_gate.rs
@@ -19,10 +19,12 @@
         self.bound?.leave_by(order.intended_at_ms, order.time_budget_ms).filter(|t| *t >= self.now)
     }
 
-    /// How long an attempt may stand still: members of a gang wait for each other first.
-    fn patience(&self, order: &StartOrder) -> Millis {
-        let waits = if order.gang_by_ms.is_some() { self.settings.gang_wait_ms } else { 0 };
-        waits + self.settings.stall_patience(order.estimate_ms)
+    /// What is expected of an attempt. Members of a gang tell of no progress of their own.
+    fn expected(&self, order: &StartOrder) -> Expectation {
+        match order.gang_by_ms {
+            Some(_) => Expectation { patience: Millis::MAX, estimate_ms: 0 },
+            None => Expectation { patience: self.settings.stall_patience(order.estimate_ms), estimate_ms: order.estimate_ms },
+        }
     }
 }
 
@@ -35,15 +37,15 @@
     }
 
     fn pass(&mut self, order: &StartOrder) -> Passage {
-        let (Some(leave_by), patience) = (self.leave_by(order), self.patience(order)) else { return Passage::Never };
+        let (Some(leave_by), expected) = (self.leave_by(order), self.expected(order)) else { return Passage::Never };
         let Some(worker) = self.share.mine_mut(&order.worker) else { return Passage::Never };
         let address = worker.address.clone();
         if !worker.leased {
-            return Passage::Now { address, leave_by, lease_until: None, patience };
+            return Passage::Now { address, leave_by, lease_until: None, expected };
         }
         // Without a reading of its clock no lease can be stated: the first hold brings one.
         match worker.lease.grant(self.now, self.settings.start_lease()) {
-            Some(until) => Passage::Now { address, leave_by, lease_until: Some(until), patience },
+            Some(until) => Passage::Now { address, leave_by, lease_until: Some(until), expected },
             None => Passage::Later,
         }
     }
--- a/crates/gateway-core/src/prelude.rs
+++ b/crates/gateway-core/src/prelude.rs
@@ -17,7 +17,7 @@
 
 pub use crate::ask_book::AskBook;
 pub use crate::ask_rank::AskRank;
-pub use crate::attempt_watch::AttemptWatch;
+pub use crate::attempt_watch::{AttemptWatch, Expectation};
 pub use crate::backoff::backoff;
 pub use crate::boot_standing::BootStanding;
 pub use crate::configuration_view::{ConfigurationView, PatchError, tree_digest};
--- a/crates/gateway-core/src/start_book.rs
+++ b/crates/gateway-core/src/start_book.rs
@@ -11,8 +11,8 @@
         leave_by: Millis,
         /// The lease that it carries, on the worker's clock.
         lease_until: Option<Millis>,
-        /// How long it may stand still once it runs.
-        patience: Millis,
+        /// What is expected of it once it runs.
+        expected: Expectation,
     },
     /// Not yet.
     Later,
@@ -92,7 +92,7 @@
                         order: None,
                         given: false,
                         lease_until: None,
-                        patience: Millis::MAX,
+                        expected: Expectation { patience: Millis::MAX, estimate_ms: 0 },
                     },
                 );
                 false
@@ -115,12 +115,12 @@
                     dropped.push((r.worker.clone(), a));
                 }
                 Passage::Later => self.held.push_back(a),
-                Passage::Now { address, leave_by, lease_until, patience } => {
+                Passage::Now { address, leave_by, lease_until, expected } => {
                     if r.go(OrderEvent::Send)
                         && let Some(order) = r.order.take()
                     {
                         self.out.insert(a);
-                        (r.lease_until, r.patience) = (lease_until, patience);
+                        (r.lease_until, r.expected) = (lease_until, expected);
                         let order = StartOrder { lease_until_ms: lease_until, ..*order };
                         fx.push(GatewayEffect::Start { address, order, leave_by });
                     }
@@ -130,9 +130,9 @@
         dropped
     }
 
-    /// How long an attempt may stand still, where its start left from here.
-    pub fn patience(&self, a: AttemptId) -> Option<Millis> {
-        self.records.get(&a).filter(|r| r.lease_until.is_some()).map(|r| r.patience)
+    /// What is expected of an attempt, where its start left from here.
+    pub fn expected(&self, a: AttemptId) -> Option<Expectation> {
+        self.records.get(&a).filter(|r| r.lease_until.is_some()).map(|r| r.expected)
     }
 
     /// Starts at a worker whose fate is open.
--- a/crates/gateway-core/src/start_record.rs
+++ b/crates/gateway-core/src/start_record.rs
@@ -13,8 +13,8 @@
     pub given: bool,
     /// With a lease: the time on the worker's clock after which it can't be carried out any more.
     pub lease_until: Option<Millis>,
-    /// How long it may stand still.
-    pub patience: Millis,
+    /// What is expected of it once it runs.
+    pub expected: Expectation,
 }
 
 impl StartRecord {
@@ -26,7 +26,7 @@
             order: Some(Box::new(order)),
             given: true,
             lease_until: None,
-            patience: Millis::MAX,
+            expected: Expectation { patience: Millis::MAX, estimate_ms: 0 },
         }
     }
 
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -272,9 +272,9 @@
         (std::mem::take(&mut self.proven).into_keys().collect(), checkpoints)
     }
 
-    /// Looks at how far all is that runs; those that stand still are given back, once each.
-    pub fn progress(&mut self, now: Millis, list: &[AttemptProgress], patience: impl Fn(AttemptId) -> Millis) -> Vec<AttemptId> {
-        self.watch.saw(now, list, patience)
+    /// Looks at how far all is that runs; those that are held up are given back, once each.
+    pub fn progress(&mut self, now: Millis, list: &[AttemptProgress], expected: impl Fn(AttemptId) -> Expectation) -> Vec<AttemptId> {
+        self.watch.saw(now, list, expected)
     }
 
     /// No answer came. True when it now counts as out of reach.
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -43,7 +43,6 @@
             gateway_silence_ms: s.gateway_silence_ms,
             hold_interval_ms: s.hold_interval_ms,
             lease_most_ms: s.lease_most_ms,
-            gang_wait_ms: s.gang_wait_ms,
             ..GatewaySettings::default()
         }
     }
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -39,6 +39,8 @@
     WorkerReborn { worker: WorkerIndex, boot_id: String },
     /// A worker's drain changed: as ordered, as asked by itself.
     WorkerDraining { worker: WorkerIndex, ordered: bool, asked: bool },
+    /// Work on a worker stands still or crawls.
+    WorkerHoldsUp { worker: WorkerIndex },
     /// A worker is about to end: it is forgotten once nothing of it runs.
     WorkerLeaving { worker: WorkerIndex },
     /// A drain's order id is to be remembered.
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -63,6 +63,11 @@
                     (w.drain_ordered, w.drain_asked) = (*ordered, *asked);
                 }
             }
+            Event::WorkerHoldsUp { worker } => {
+                if let Some(w) = self.tables.workers.get_mut(worker) {
+                    w.health.streak += 1;
+                }
+            }
             Event::WorkerLeaving { worker } => {
                 if let Some(w) = self.tables.workers.get_mut(worker) {
                     w.leaving = true;
--- a/crates/scheduler-core/src/journal.rs
+++ b/crates/scheduler-core/src/journal.rs
@@ -15,7 +15,7 @@
     /// use scheduler_core::{Event, Journal};
     /// let mut j = Journal::new(1, 2);
     /// for job in 1..=3 {
-    ///     j.append(Event::JobDue { job });
+    ///     j.append(Event::JobDue { job, occurrence: 0 });
     /// }
     /// assert_eq!(j.next(), 4);
     /// assert!(j.since(0).is_none());
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -104,8 +104,9 @@
         }
         for &a in &f.stalled {
             let lasting = self.state.tables.jobs.get(&a.task.job).and_then(|j| j.spec.as_ref()).is_none_or(|s| s.run_until_cancelled);
-            if !lasting && self.live(i, a).is_some() {
+            if !lasting && self.live(i, a).is_some_and(|x| x.stop.is_none()) {
                 self.stop(a.task, StopReason::Stalled);
+                self.emit(Event::WorkerHoldsUp { worker: i });
             }
         }
         let Some(w) = self.state.tables.workers.get(&i) else { return };
@@ -301,18 +302,17 @@
         Ok(ZoneEvacuated { zone: e.zone.clone(), on: e.on, already: false, attempts: in_zone(self).len() as u32 })
     }
 
-    /// A worker's gateway gets no answer from it. Perhaps it is the gateway that is cut off: another one of the zone, else
-    /// of any, takes the worker over and finds out. If that one gets no answer either, the worker stays with it.
+    /// A worker's gateway gets no answer from it. Perhaps it is the gateway that is cut off: the next one takes the worker over
+    /// and finds out, those of the worker's zone first, and so on round all of them.
     fn try_another_gateway(&mut self, worker: WorkerIndex) {
         let s = &self.state.tables;
         let Some(w) = s.workers.get(&worker) else { return };
-        let mut load: BTreeMap<&Name, usize> = BTreeMap::new();
-        for g in s.workers.values().filter_map(|w| w.gateway.as_ref()) {
-            *load.entry(g).or_default() += 1;
-        }
-        let others = s.gateways.iter().filter(|(n, g)| g.alive && w.gateway.as_ref() != Some(*n));
-        let best = others.min_by_key(|(n, g)| (g.zone != w.told.zone, load.get(n).copied().unwrap_or(0), *n));
-        if let Some(name) = best.map(|(n, _)| n.clone()) {
+        let mut ring: Vec<(bool, &Name)> = s.gateways.iter().filter(|(_, g)| g.alive).map(|(n, g)| (g.zone != w.told.zone, n)).collect();
+        ring.sort_unstable();
+        let place = ring.iter().position(|(_, n)| w.gateway.as_ref() == Some(*n));
+        let next = place.map_or(0, |at| (at + 1) % ring.len());
+        let Some(name) = ring.get(next).map(|(_, n)| (*n).clone()) else { return };
+        if w.gateway.as_ref() != Some(&name) {
             self.emit(Event::WorkerShared { worker, gateway: Some(name) });
         }
     }
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -33,6 +33,8 @@
 const SLOW_RATIO: f64 = 1.6;
 /// Urgent tasks go first to workers whose tasks take no longer than this against their like.
 const FAST_RATIO: f64 = 1.08;
+/// Room of a worker, in millionths, that less urgent work leaves free while there is another.
+const SPARED_PPM: u64 = 150_000;
 
 impl<'a> StartPlanner<'a> {
     /// A planner over a state.
@@ -227,8 +229,14 @@
         }
         let near = |w: &WorkerRecord| g.near_rack.as_ref().is_none_or(|r| *r == w.told.rack);
         let urgent = p.urgency >= self.state.tables.rules.urgent_from;
-        let fast = |w: &WorkerRecord| !urgent || w.pace.ratio <= FAST_RATIO;
-        let sound = |w: &WorkerRecord| w.pace.ratio <= SLOW_RATIO;
+        // Urgent work takes the fast ones; the rest leaves some room on each worker for it.
+        let spares = |w: &WorkerRecord| {
+            let free = w.room().sub(w.used).sub(g.room);
+            let (cpu, memory) = free.shares_ppm(w.room());
+            cpu.min(memory) >= SPARED_PPM
+        };
+        let fast = |w: &WorkerRecord| if urgent { w.pace.ratio <= FAST_RATIO } else { spares(w) };
+        let sound = |w: &WorkerRecord| w.pace.ratio <= SLOW_RATIO && !w.health.is_doubted();
         let tiers: [&dyn Fn(&WorkerRecord) -> bool; 5] =
             [&|w| near(w) && fast(w) && sound(w), &|w| near(w) && sound(w), &|w| fast(w) && sound(w), &|w| sound(w), &|_| true];
         let pick = |tier: &dyn Fn(&WorkerRecord) -> bool, avoid: Option<WorkerIndex>| {
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -47,6 +47,7 @@
                 | Event::GangRunOver { .. }
                 | Event::CheckpointSeen { .. }
                 | Event::WorkerLeaving { .. }
+                | Event::WorkerHoldsUp { .. }
                 | Event::StepDone { .. } => {}
                 Event::JobEnding { job, .. } | Event::JobOver { job, .. } => {
                     jobs.insert(*job);
--- a/crates/scheduler-core/src/worker_health.rs
+++ b/crates/scheduler-core/src/worker_health.rs
@@ -16,12 +16,15 @@
     /// Until when, in cluster time; then one task at a time tries it.
     #[n(3)]
     pub until: Millis,
+    /// Bad attempts since the last good one.
+    #[n(4)]
+    pub streak: u32,
 }
 
 /// Attempts after which older ones count half.
 const WINDOW: f64 = 16.0;
 /// Bad attempts below which nobody is shunned.
-const LEAST_BAD: f64 = 3.0;
+const LEAST_BAD: f64 = 2.0;
 /// A worker is suspect when its bad share is this many times its peers'.
 const PEERS_RATIO: f64 = 3.0;
 /// ... and at least this.
@@ -49,6 +52,7 @@
             self.bad /= 2.0;
         }
         if well {
+            self.streak = 0;
             self.good += 1.0;
             if self.level > 0 {
                 self.level -= 1;
@@ -59,6 +63,7 @@
             }
             return;
         }
+        self.streak += 1;
         self.bad += 1.0;
         let share = self.bad / (self.good + self.bad);
         let suspect = self.bad >= LEAST_BAD && share >= LEAST_SHARE && share >= PEERS_RATIO * peers_bad;
@@ -72,4 +77,9 @@
     pub fn may_try(&self, now: Millis, live: usize) -> bool {
         self.level == 0 || (now >= self.until && live == 0)
     }
+
+    /// Whether its last attempt was a bad one: others go first until a good one.
+    pub fn is_doubted(&self) -> bool {
+        self.streak > 0
+    }
 }
