--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -562,6 +562,9 @@
         if r.result == StopResult::Accepted {
             self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
             self.stops.accepted(self.now, self.steps, &self.settings, a, &mut self.rng);
+            if let Some(h) = self.share.get_mut(worker) {
+                h.look_soon();
+            }
             return;
         }
         self.stops.answered(a);
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -56,6 +56,8 @@
     ends: EndSequence,
     watch: AttemptWatch,
     lapse_told: bool,
+    /// The next list is wanted at once.
+    look_soon: bool,
 }
 
 /// What a hold that leaves now may say.
@@ -104,6 +106,7 @@
             ends: EndSequence::default(),
             watch: AttemptWatch::default(),
             lapse_told: false,
+            look_soon: false,
         }
     }
 
@@ -224,6 +227,7 @@
             return None;
         }
         let (wait_ms, give_up_after_ms) = self.hold_times(s);
+        self.look_soon = false;
         // A worker that doesn't answer gets no longer lease: only then does the one it has run out.
         let may_lease = self.leased && p.may_lease && self.errors == 0;
         let lease = if may_lease { self.lease.grant(now, s.lease()) } else { None };
@@ -248,11 +252,16 @@
             return (s.hold_wait(), s.hold_budget());
         }
         // Its clock is wanted first of all, and after an error whether it is there at all.
-        let at_once = self.lease.at_least(0).is_none() || self.errors > 0;
+        let at_once = self.lease.at_least(0).is_none() || self.errors > 0 || self.look_soon;
         let wait = if at_once { 0 } else { s.leased_wait(!self.proven.is_empty()) };
         (wait, wait + s.leased_slack())
     }
 
+    /// Something waits for the next list.
+    pub fn look_soon(&mut self) {
+        self.look_soon = true;
+    }
+
     /// The step in which the hold left that is out.
     pub fn hold_step(&self) -> Option<u64> {
         self.open.as_ref().map(|o| o.step)
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -80,8 +80,9 @@
             }
             Command::GatewayLost { name, instance } => {
                 if self.state.tables.gateways.get(&name).is_some_and(|g| g.alive && g.instance == instance) {
-                    self.emit(Event::GatewayLost { name });
+                    self.emit(Event::GatewayLost { name: name.clone() });
                     self.share_workers();
+                    self.stop_unproven_of(&name, instance);
                 }
                 None
             }
@@ -115,6 +116,15 @@
         }
     }
 
+    /// Starts that a lost gateway was to send: whoever holds their workers now finds out what became of them.
+    fn stop_unproven_of(&mut self, gateway: &str, instance: u64) {
+        let of = |a: &Attempt| a.started.is_none() && a.gateway == gateway && a.instance == instance;
+        let open: Vec<TaskId> = self.state.tables.attempts.iter().filter(|(_, a)| of(a)).map(|(t, _)| *t).collect();
+        for t in open {
+            self.stop(t, StopReason::Unproven);
+        }
+    }
+
     /// Whether the passing of time alone would change something by then.
     pub fn has_due(&self, log_time: Millis) -> bool {
         let s = &self.state;
--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod ledger_jobs;
 mod ledger_workers;
 mod peer_frame;
+mod preemption;
 mod queries;
 mod ready_index;
 mod scheduler;
--- /dev/null
+++ b/crates/scheduler-core/src/preemption.rs
@@ -0,0 +1,74 @@
+use crate::prelude::*;
+
+/// Attempts on their way out for more urgent work at most: room that is freed is used before more is.
+const MOST_OUT: usize = 16;
+/// What a stop without a checkpoint loses beyond the work done: the next start.
+const RESTART_MS: Millis = 300;
+/// Work since the last checkpoint that a stop of a checkpointing task loses at most, as it checkpoints when it is stopped.
+const CHECKPOINT_LOSS_MS: Millis = 200;
+
+/// Finds attempts of less urgent work whose room a waiting urgent task could have. Only what is asked of it is decided here;
+/// a stop is as every other stop, and the room is free once its end is proven.
+pub struct Preemption<'a> {
+    state: &'a ClusterState,
+    now: Millis,
+    /// Attempts chosen so far.
+    chosen: BTreeSet<TaskId>,
+    /// How many more may be chosen.
+    left: usize,
+}
+
+impl<'a> Preemption<'a> {
+    /// Over a state; what is being stopped for urgent work already counts.
+    pub fn new(state: &'a ClusterState, now: Millis) -> Self {
+        let out = state.tables.attempts.values().filter(|a| a.stop == Some(StopReason::Preempted)).count();
+        Preemption { state, now, chosen: BTreeSet::new(), left: MOST_OUT.saturating_sub(out) }
+    }
+
+    /// Makes room for one task of so much on one of these workers, at the least loss; false when there is none to be had.
+    pub fn make_room(&mut self, need: Room, workers: &BTreeMap<WorkerIndex, &WorkerRecord>) -> bool {
+        let offers = workers.iter().filter_map(|(i, w)| self.offer(need, *i, w));
+        let Some((_, victims)) = offers.min_by_key(|(loss, _)| *loss) else { return false };
+        self.left -= victims.len();
+        self.chosen.extend(victims);
+        true
+    }
+
+    /// The attempts chosen.
+    pub fn into_victims(self) -> Vec<TaskId> {
+        self.chosen.into_iter().collect()
+    }
+
+    /// What has to go on one worker, and what that loses.
+    fn offer(&self, need: Room, worker: WorkerIndex, w: &WorkerRecord) -> Option<(Millis, Vec<TaskId>)> {
+        let on = self.state.on_worker.get(&worker)?;
+        let mut lesser: Vec<(Millis, TaskId, Room)> =
+            on.iter().filter_map(|t| self.loss(*t).map(|(loss, room)| (loss, *t, room))).collect();
+        lesser.sort_unstable_by_key(|(loss, t, _)| (*loss, *t));
+        let mut free = w.room().sub(w.used);
+        let (mut sum, mut victims) = (0, Vec::new());
+        for (loss, task, room) in lesser {
+            if need.fits(free) {
+                break;
+            }
+            free = free.add(room);
+            sum += loss;
+            victims.push(task);
+        }
+        (need.fits(free) && !victims.is_empty() && victims.len() <= self.left).then_some((sum, victims))
+    }
+
+    /// What a stop of an attempt loses, and the room it gives; `None` for what isn't to be stopped.
+    fn loss(&self, task: TaskId) -> Option<(Millis, Room)> {
+        let t = &self.state.tables;
+        let a = t.attempts.get(&task).filter(|a| a.stop.is_none() && !self.chosen.contains(&task))?;
+        let j = t.jobs.get(&task.job).filter(|j| j.summary.urgency < t.rules.urgent_from)?;
+        let spec = j.spec.as_deref()?;
+        let step = spec.steps.get(task.step as usize).filter(|s| !s.gang)?;
+        let since = a.started.as_ref().map(|s| s.0)?;
+        let done = self.now.saturating_sub(since);
+        let lost = if step.checkpoints { done.min(CHECKPOINT_LOSS_MS) } else { done };
+        // By the room as well: what is lost is work, not time.
+        Some(((lost + RESTART_MS) * a.room.cpu_millis / 1_000, a.room))
+    }
+}
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -48,6 +48,7 @@
 pub use crate::journal::Journal;
 pub use crate::ledger::{Answer, Ledger};
 pub use crate::peer_frame::PeerFrame;
+pub use crate::preemption::Preemption;
 pub(crate) use crate::queries::patch_of;
 pub use crate::ready_index::{ReadyGroup, ReadyIndex, ReadyStep};
 pub use crate::scheduler::{Scheduler, SchedulerCounters, Waiter};
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -59,6 +59,8 @@
     pub rounds: u64,
     /// Starts planned.
     pub planned: u64,
+    /// Attempts that were to make room for urgent work.
+    pub preempted: u64,
     /// Updates sent to gateways.
     pub updates: u64,
     /// Peers' frames that could not be read.
@@ -81,6 +83,8 @@
 const ROUND_STARTS: usize = 256;
 /// After this part of a gateway's silence its channel is given up, by the gateway as well.
 const STALE_PART: u64 = 2;
+/// A gateway whose channel broke has this part of a silence to attach again.
+const REATTACH_PART: u64 = 4;
 /// The wall clock is agreed anew when it is off by more than this part of a hold interval.
 const WALL_PART: u64 = 10;
 /// Rounds of placement in one hold interval when nothing changed.
@@ -153,9 +157,7 @@
             SchedulerInput::Call { call, time_budget_ms, body } => self.call(now, call, time_budget_ms, *body),
             SchedulerInput::Leave => self.leave(now),
             SchedulerInput::Gateway(c, f) => self.gateway(now, c, f),
-            SchedulerInput::GatewayDown(c) => {
-                self.sessions.remove(&c);
-            }
+            SchedulerInput::GatewayDown(c) => self.gateway_down(now, c),
         }
         self.settle(now);
         std::mem::take(&mut self.effects)
@@ -491,6 +493,15 @@
         Some(wall_ms)
     }
 
+    /// A gateway's channel is gone: a process that ended won't come back on it, so it has little time left to attach again.
+    fn gateway_down(&mut self, now: Millis, c: ChannelId) {
+        let Some(s) = self.sessions.remove(&c) else { return };
+        let patience = self.settings.gateway_silence_ms / REATTACH_PART;
+        if let Some(h) = self.heard.get_mut(&s.name).filter(|h| h.0 == s.record.instance) {
+            h.1 = h.1.min((now + patience).saturating_sub(self.settings.gateway_silence_ms));
+        }
+    }
+
     /// The leader's regular duties.
     fn tick(&mut self, now: Millis) {
         self.greet(now);
@@ -555,7 +566,11 @@
         self.dirty = false;
         self.planned_at = now;
         self.counters.rounds += 1;
-        let plans = StartPlanner::new(&self.ledger.state, self.replica.log_time(now), ROUND_STARTS).plan();
+        let (plans, victims) = StartPlanner::new(&self.ledger.state, self.replica.log_time(now), ROUND_STARTS).plan();
+        if !victims.is_empty() {
+            self.counters.preempted += victims.len() as u64;
+            self.inbox.push_back((Command::Preempt(victims), None, Millis::MAX));
+        }
         for (starts, gang) in plans {
             self.counters.planned += starts.len() as u64;
             self.inbox.push_back((Command::Start { starts, gang }, None, Millis::MAX));
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -27,6 +27,7 @@
     fleet: Room,
     plans: Vec<PlannedStarts>,
     count: usize,
+    preemption: Preemption<'a>,
 }
 
 /// A worker whose tasks take longer than this against their like counts as slow.
@@ -52,11 +53,12 @@
             fleet,
             plans: Vec::new(),
             count: 0,
+            preemption: Preemption::new(state, now),
         }
     }
 
-    /// Plans one round.
-    pub fn plan(mut self) -> Vec<PlannedStarts> {
+    /// Plans one round: the starts, and the attempts that are to make room for urgent work.
+    pub fn plan(mut self) -> (Vec<PlannedStarts>, Vec<TaskId>) {
         let mut levels: BTreeMap<Reverse<u8>, Vec<GroupSteps<'a>>> = BTreeMap::new();
         for (g, steps) in self.state.ready.groups() {
             let u = self.state.urgency(&g.queue, g.asked);
@@ -68,7 +70,7 @@
                 break;
             }
         }
-        self.plans
+        (self.plans, self.preemption.into_victims())
     }
 
     /// Plans all groups of one urgency, the queue that lags most behind its share first.
@@ -140,6 +142,7 @@
             match self.places(&placement, &[index], &|_| true) {
                 Some(p) => starts.extend(p.into_iter().map(|w| (id.task(index), w))),
                 None => {
+                    self.preempt(&placement, s.waiting().skip_while(|i| *i != index).count());
                     // A task that shuns the worker it failed on says nothing of its group.
                     fits = s.tasks[index as usize].avoid.is_some();
                     break;
@@ -153,6 +156,20 @@
         fits
     }
 
+    /// Makes room for urgent tasks that fit nowhere, as far as that goes.
+    fn preempt(&mut self, p: &StepPlacement<'_>, waiting: usize) {
+        if p.urgency < self.state.tables.rules.urgent_from {
+            return;
+        }
+        let sound = p.allowed.iter().filter(|(_, w)| w.health.may_try(self.now, 0) && w.pace.ratio <= SLOW_RATIO);
+        let workers: BTreeMap<WorkerIndex, &WorkerRecord> = sound.map(|(i, w)| (*i, *w)).collect();
+        for _ in 0..waiting {
+            if !self.preemption.make_room(p.group.room, &workers) {
+                return;
+            }
+        }
+    }
+
     /// Workers that a group may use, room and trust aside.
     fn allowed(&self, g: &ReadyGroup) -> BTreeMap<WorkerIndex, &'a WorkerRecord> {
         let s = self.state;
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -47,7 +47,7 @@
 
     /// One round of placement; gives what started.
     fn plan(&mut self) -> Vec<(TaskId, WorkerIndex)> {
-        let plans = StartPlanner::new(&self.ledger.state, self.now, 256).plan();
+        let (plans, _) = StartPlanner::new(&self.ledger.state, self.now, 256).plan();
         let mut all = Vec::new();
         for (starts, gang) in plans {
             all.extend(starts.clone());
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -231,6 +231,7 @@
         ("scheduler_shed_total", n.shed),
         ("scheduler_placement_rounds_total", n.rounds),
         ("scheduler_starts_planned_total", n.planned),
+        ("scheduler_preempted_total", n.preempted),
         ("scheduler_updates_total", n.updates),
         ("scheduler_malformed_frames_total", n.malformed + l.malformed),
         ("scheduler_repairs_total", n.repairs),
