Keep newcomers to the log that were not heard yet; ask whoever was removed to join anew

Cause: a scheduler that lost its disk was added as a learner and removed again 0.1 s later: never heard, it counted as silent since the leader began to lead, so that its lost old self looked like its successor. Ruled out: the store (tests/power_loss.rs cuts the power at each point of its life), the founding. Who finds itself removed comes back as a new member. Conclusion: silence counts from when a member became one; the membership is looked at four times an election timeout.

--- a/crates/gateway-core/src/gateway_settings.rs
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -130,7 +130,7 @@
 
     /// Without a word of an elected scheduler for this long, no more leases are given.
     pub fn grant_silence(&self) -> Millis {
-        part(self.lease_most_ms * 4, 5)
+        part(self.lease_most_ms * 6, 5)
     }
 
     /// How long after a worker changed hands leases of its former gateway may last, by clocks that run unlike.
@@ -149,8 +149,8 @@
         part(self.hold_interval_ms * 4, 5)
     }
 
-    /// How long tasks that run without an estimate may take for their first hundredths before that tells something.
-    pub fn pace_after(&self) -> Millis {
+    /// How long a worker that would answer at once with nothing new is left alone.
+    pub fn idle_rest(&self) -> Millis {
         part(self.hold_interval_ms * 2, 5)
     }
 
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -58,6 +58,8 @@
     lapse_told: bool,
     /// The next list is wanted at once.
     look_soon: bool,
+    /// The last list showed nothing new, though it didn't wait.
+    idle: bool,
 }
 
 /// What a hold that leaves now may say.
@@ -107,6 +109,7 @@
             watch: AttemptWatch::default(),
             lapse_told: false,
             look_soon: false,
+            idle: false,
         }
     }
 
@@ -223,7 +226,8 @@
     /// The next hold, when it is due.
     pub fn hold(&mut self, worker: &str, p: &HoldPermit<'_>) -> Option<GatewayEffect> {
         let (now, s) = (p.now, p.settings);
-        if !self.mine || self.open.is_some() || now < self.next_at {
+        let rests = self.idle && !self.look_soon && now < self.next_at + s.idle_rest();
+        if !self.mine || self.open.is_some() || now < self.next_at || rests {
             return None;
         }
         let (wait_ms, give_up_after_ms) = self.hold_times(s);
@@ -376,6 +380,8 @@
         // Proven while this hold was out: the next whole list has to show it.
         self.whole |= self.proven.keys().any(|x| !self.listed.contains(x));
         self.drop_acknowledged(&open.order, &a.ended.iter().map(|e| e.attempt).collect());
+        // Ends that are known and not in the log yet make the worker answer at once: it is asked again after a while.
+        self.idle = self.leased && line.is_empty() && !a.ended.is_empty();
         true
     }
 
--- a/crates/replicated-log/src/disk_log_storage.rs
+++ b/crates/replicated-log/src/disk_log_storage.rs
@@ -4,8 +4,8 @@
 const RECORDS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("records");
 /// The store's file in its folder.
 const FILE_NAME: &str = "records.redb";
-/// Added to the name of a file that can't be read and is put aside.
-const DAMAGED_SUFFIX: &str = "damaged";
+/// Added to the name of a file that is put aside.
+const ASIDE_SUFFIX: &str = "aside";
 /// Key of term and vote.
 const HARD_STATE_KEY: &[u8] = b"h";
 /// Key of the record that says who this member is.
@@ -42,7 +42,7 @@
         let opened = Self::open_file(&file, settings);
         let storage = match opened {
             Err(StorageError::Store { source }) if is_damage(&source) => {
-                std::fs::rename(&file, file.with_extension(DAMAGED_SUFFIX)).context(crate::storage_error::FolderSnafu)?;
+                Self::put_aside(folder)?;
                 Self::open_file(&file, settings)?
             }
             other => other?,
@@ -51,6 +51,17 @@
         Ok(storage)
     }
 
+    /// Renames the store's file, so that the next process comes up with an empty store and a new id.
+    ///
+    /// # Errors
+    /// When the file can't be renamed.
+    pub fn put_aside(folder: &Path) -> Result<(), StorageError> {
+        let file = folder.join(FILE_NAME);
+        std::fs::rename(&file, file.with_extension(ASIDE_SUFFIX)).context(crate::storage_error::FolderSnafu)?;
+        sync_folders(folder);
+        Ok(())
+    }
+
     fn open_file(file: &Path, settings: &LogSettings) -> Result<Self, StorageError> {
         let db = store(Database::builder().set_cache_size(settings.store_cache_bytes as usize).create(file))?;
         Self::of(db, settings)
--- a/crates/scheduler-core/src/halt_reason.rs
+++ b/crates/scheduler-core/src/halt_reason.rs
@@ -9,4 +9,7 @@
     /// A leader's snapshot can't be read.
     #[snafu(display("snapshot at {index}: {source}"))]
     Snapshot { index: u64, source: StateError },
+    /// Its id was removed from the members, and removed ids never return.
+    #[snafu(display("member {id} was removed: only a new one may join"))]
+    Retired { id: u64 },
 }
--- a/crates/scheduler-core/src/peer_frame.rs
+++ b/crates/scheduler-core/src/peer_frame.rs
@@ -38,6 +38,16 @@
         #[n(7)]
         wants_answer: bool,
     },
+    /// From the elected one: that id was removed from the members.
+    #[n(2)]
+    Retired {
+        /// The cluster's name.
+        #[n(0)]
+        cluster: Name,
+        /// The id.
+        #[n(1)]
+        id: u64,
+    },
 }
 
 impl WireMessage for PeerFrame {}
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -34,6 +34,8 @@
     pub(crate) peers: BTreeMap<u64, PeerMember>,
     pub(crate) greeted_at: Option<Millis>,
     pub(crate) repaired_at: Millis,
+    /// Since when this leader has known each member as one.
+    pub(crate) member_since: BTreeMap<u64, Millis>,
     pub(crate) led_since: Millis,
     pub(crate) seed: u64,
     wall: SteadyClock,
@@ -117,6 +119,7 @@
             peers: BTreeMap::new(),
             greeted_at: None,
             repaired_at: now,
+            member_since: BTreeMap::new(),
             led_since: now,
             seed,
             wall: SteadyClock::default(),
@@ -185,6 +188,7 @@
                 Effect::BecameLeader { term } => {
                     self.leading = Some((term, false));
                     self.led_since = now;
+                    self.member_since.clear();
                     self.heard = self
                         .ledger
                         .state
@@ -206,8 +210,8 @@
     }
 
     /// A state that lacks an entry is wrong from there on: this scheduler does nothing any more.
-    fn halt(&mut self, reason: HaltReason) {
-        self.counters.unreadable += 1;
+    pub(crate) fn halt(&mut self, reason: HaltReason) {
+        self.counters.unreadable += u64::from(!matches!(reason, HaltReason::Retired { .. }));
         if !std::mem::replace(&mut self.halted, true) {
             self.effects.push(SchedulerEffect::Halt(Arc::new(reason)));
         }
--- a/crates/scheduler-core/src/scheduler_members.rs
+++ b/crates/scheduler-core/src/scheduler_members.rs
@@ -17,6 +17,8 @@
 
 /// Greetings, in election timeouts.
 const GREET_TIMEOUTS: u64 = 1;
+/// Looks at the membership in one election timeout, while the leader serves.
+const REPAIRS_A_TIMEOUT: u64 = 4;
 /// Voters that are added together, so that their number stays odd.
 const VOTERS_MORE: u64 = 2;
 /// A peer that greeted longer ago than this many election timeouts isn't counted on.
@@ -61,6 +63,10 @@
                 if cluster != self.settings.cluster || id == self.replica.id() {
                     return;
                 }
+                if self.is_serving(now) && self.replica.membership().retired.contains(&id) {
+                    self.send_peer(address, &PeerFrame::Retired { cluster, id });
+                    return;
+                }
                 if wants_answer {
                     let hello = self.hello(false);
                     self.send_peer(address.clone(), &hello);
@@ -77,14 +83,25 @@
                 self.peers.insert(id, PeerMember { address, zone, formed, member, heard_at: now });
                 self.found(now);
             }
+            Ok(PeerFrame::Retired { cluster, id }) if cluster == self.settings.cluster && id == self.replica.id() => self.retire(),
+            Ok(PeerFrame::Retired { .. }) => {}
             Err(_) => self.counters.malformed += 1,
         }
     }
 
+    /// This id was removed from the members and never returns: only a new one may join.
+    fn retire(&mut self) {
+        if !self.is_member() || self.replica.leader_hint().is_none() {
+            self.halt(HaltReason::Retired { id: self.replica.id() });
+        }
+    }
+
     /// Makes itself known to the seeds while it is no member.
     pub(crate) fn greet(&mut self, now: Millis) {
         let every = GREET_TIMEOUTS * self.settings.log.election_timeout_ms;
-        if self.is_member() || self.greeted_at.is_some_and(|at| now < at + every) {
+        // A member that hears of nobody who leads may have been removed meanwhile: it asks.
+        let settled = self.is_member() && self.replica.leader_hint().is_some();
+        if settled || self.greeted_at.is_some_and(|at| now < at + every) {
             return;
         }
         self.greeted_at = Some(now);
@@ -125,10 +142,15 @@
     /// its old self; a voter that stays silent is replaced by a spare that has caught up. One change at a time.
     pub(crate) fn repair(&mut self, now: Millis) {
         let t = self.settings.log.election_timeout_ms;
-        if now < self.repaired_at + t || !self.replica.membership_committed() {
+        if now < self.repaired_at + t / REPAIRS_A_TIMEOUT || !self.replica.membership_committed() {
             return;
         }
         self.repaired_at = now;
+        let members: Vec<u64> = self.replica.membership().members().map(|m| m.0).collect();
+        self.member_since.retain(|id, _| members.contains(id));
+        for id in members {
+            self.member_since.entry(id).or_insert(now);
+        }
         if self.may_grow(now) {
             self.put_rules(VOTERS_MORE);
             return;
@@ -154,7 +176,9 @@
             return 0;
         }
         let heard = self.replica.progress_of(id).and_then(|p| p.acked_sent_at);
-        now.saturating_sub(heard.unwrap_or(self.led_since))
+        // One that was never heard has been silent since it became a member, not since this leader leads.
+        let since = self.member_since.get(&id).copied().unwrap_or(now);
+        now.saturating_sub(heard.unwrap_or(since))
     }
 
     /// Whether a member has nearly the whole log and was heard of late.
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -58,10 +58,15 @@
         c
     }
 
+    /// The store's folder.
+    fn folder(&self) -> Result<PathBuf, DaemonError> {
+        let folder = self.settings.data_folder.as_ref().context(crate::daemon_error::NoDataFolderSnafu)?;
+        Ok(PathBuf::from(folder).join("log"))
+    }
+
     /// Opens the store; a fresh one gets an id of its own, so that a lost disk never comes back as its old self.
     fn open(&self, c: &SchedulerSettings) -> Result<(DiskLogStorage, u64, RestoredState), DaemonError> {
-        let folder = self.settings.data_folder.as_ref().context(crate::daemon_error::NoDataFolderSnafu)?;
-        let folder = PathBuf::from(folder).join("log");
+        let folder = self.folder()?;
         let mut storage = DiskLogStorage::open(&folder, &c.log).context(crate::daemon_error::StorageSnafu)?;
         let id = match storage.identity().context(crate::daemon_error::StorageSnafu)? {
             Some(id) => id,
@@ -161,6 +166,11 @@
                             let _ = r.send(*result);
                         }
                     }
+                    SchedulerEffect::Halt(reason) if matches!(*reason, HaltReason::Retired { .. }) => {
+                        info!(%reason, "its store is put aside");
+                        drop(disk);
+                        return DiskLogStorage::put_aside(&self.folder()?).context(crate::daemon_error::StorageSnafu);
+                    }
                     SchedulerEffect::Halt(reason) => return Err(DaemonError::Halted { reason }),
                     SchedulerEffect::Leading(Some(term)) => info!(term, "leads"),
                     SchedulerEffect::Leading(None) => info!("leads no more"),
