Look at a worker again once its ends are in the log, not before

Cause: a worker lists ends that aren't observed at once, so each look until they were in the log came back with nothing new. Ruled out: longer waits (they hold up what ends meanwhile). A removed member comes back as a new one in the simulator too.

--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -201,6 +201,12 @@
                 SchedulerEffect::Gateway(channel, f) => self.send_frame(channel, Direction::Down(*f)),
                 // Nobody calls a scheduler itself here.
                 SchedulerEffect::Answer { .. } => {}
+                SchedulerEffect::Halt(reason) if matches!(*reason, HaltReason::Retired { .. }) => {
+                    // Its store is put aside, and its process comes back as a new member.
+                    self.scheduler_down(i);
+                    self.agenda.set(self.now + RETURN_MS, Occurrence::SchedulerUp { scheduler: i, fresh_disk: true });
+                    return;
+                }
                 SchedulerEffect::Halt(reason) => self.divergences.push(format!("scheduler {i} halted: {reason}")),
                 SchedulerEffect::Leading(l) => {
                     if self.verbose {
@@ -359,5 +365,7 @@
     }
 }
 
+/// How long a process that ended by itself is away.
+const RETURN_MS: Millis = 500;
 /// Log indexes at which folded states are compared.
 const DIGEST_EVERY: u64 = 64;
--- a/crates/gateway-core/src/end_sequence.rs
+++ b/crates/gateway-core/src/end_sequence.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Whether all that were listed are in the log.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// All up to this one are in the log.
     pub fn observed(&self) -> u64 {
         self.observed
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -371,7 +371,10 @@
                 }
             }
             SchedulerFrame::Update(u) if attached => self.update(channel, u, fx),
-            SchedulerFrame::FactsDone { report } if attached => self.facts_done(report),
+            SchedulerFrame::FactsDone { report } if attached => {
+                self.facts_done(report);
+                self.send_holds(None, fx);
+            }
             SchedulerFrame::Shed(_) if !attached => {
                 self.session.lose(self.now, &self.settings, false, &mut self.rng, fx);
             }
@@ -654,6 +657,7 @@
             let stalled = h.progress(self.now, &a.progress, |x| starts.expected(x).unwrap_or(usual));
             self.counters.attempts_stalled += stalled.len() as u64;
             line.stalled.extend(stalled);
+            h.rest(self.now, &self.settings);
         }
     }
 }
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -58,8 +58,8 @@
     lapse_told: bool,
     /// The next list is wanted at once.
     look_soon: bool,
-    /// The last list showed nothing new, though it didn't wait.
-    idle: bool,
+    /// Until when the worker isn't asked again, since it would list the same ends at once.
+    rests_until: Millis,
 }
 
 /// What a hold that leaves now may say.
@@ -109,7 +109,7 @@
             watch: AttemptWatch::default(),
             lapse_told: false,
             look_soon: false,
-            idle: false,
+            rests_until: 0,
         }
     }
 
@@ -218,6 +218,9 @@
     /// An ended attempt is in the log: the next hold acknowledges it.
     pub fn acknowledge(&mut self, a: AttemptId) {
         self.ends.logged(a);
+        if self.ends.is_empty() {
+            self.rests_until = 0;
+        }
         if let Some(done) = self.ended.get_mut(&a) {
             *done = true;
         }
@@ -226,7 +229,7 @@
     /// The next hold, when it is due.
     pub fn hold(&mut self, worker: &str, p: &HoldPermit<'_>) -> Option<GatewayEffect> {
         let (now, s) = (p.now, p.settings);
-        let rests = self.idle && !self.look_soon && now < self.next_at + s.idle_rest();
+        let rests = now < self.rests_until && !self.look_soon;
         if !self.mine || self.open.is_some() || now < self.next_at || rests {
             return None;
         }
@@ -285,6 +288,13 @@
         (std::mem::take(&mut self.proven).into_keys().collect(), checkpoints)
     }
 
+    /// Ends are on their way to the log: until they are there, or for a while, the worker would list just them again.
+    pub fn rest(&mut self, now: Millis, s: &GatewaySettings) {
+        if !self.ends.is_empty() {
+            self.rests_until = now + s.idle_rest();
+        }
+    }
+
     /// Looks at how far all is that runs; those that are held up are given back, once each.
     pub fn progress(&mut self, now: Millis, list: &[AttemptProgress], expected: impl Fn(AttemptId) -> Expectation) -> Vec<AttemptId> {
         self.watch.saw(now, list, expected)
@@ -380,8 +390,6 @@
         // Proven while this hold was out: the next whole list has to show it.
         self.whole |= self.proven.keys().any(|x| !self.listed.contains(x));
         self.drop_acknowledged(&open.order, &a.ended.iter().map(|e| e.attempt).collect());
-        // Ends that are known and not in the log yet make the worker answer at once: it is asked again after a while.
-        self.idle = self.leased && line.is_empty() && !a.ended.is_empty();
         true
     }
 
