--- a/crates/gateway-core/src/gateway_settings.rs
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -120,7 +120,7 @@
 
     /// The lease that a hold gives to all that runs on a worker.
     pub fn lease(&self) -> Millis {
-        (self.lease_most_ms * 22 / 100).max(self.hold_interval_ms * 4).min(self.lease_most_ms * 3 / 5)
+        (self.lease_most_ms * 30 / 100).max(self.hold_interval_ms * 6).min(self.lease_most_ms * 3 / 5)
     }
 
     /// The lease that a start carries: once it is over, the start can't be carried out any more.
--- a/crates/scheduler-core/src/preemption.rs
+++ b/crates/scheduler-core/src/preemption.rs
@@ -1,7 +1,9 @@
 use crate::prelude::*;
 
 /// Attempts on their way out for more urgent work at most: room that is freed is used before more is.
-const MOST_OUT: usize = 16;
+const MOST_OUT: usize = 6;
+/// An attempt that would lose more than this goes on.
+const MOST_LOSS_MS: Millis = 400;
 /// What a stop without a checkpoint loses beyond the work done: the next start.
 const RESTART_MS: Millis = 300;
 /// Work since the last checkpoint that a stop of a checkpointing task loses at most, as it checkpoints when it is stopped.
@@ -68,6 +70,9 @@
         let since = a.started.as_ref().map(|s| s.0)?;
         let done = self.now.saturating_sub(since);
         let lost = if step.checkpoints { done.min(CHECKPOINT_LOSS_MS) } else { done };
+        if lost > MOST_LOSS_MS {
+            return None;
+        }
         // By the room as well: what is lost is work, not time.
         Some(((lost + RESTART_MS) * a.room.cpu_millis / 1_000, a.room))
     }
