--- a/crates/capacity-slopes/src/fleet_driver.rs
+++ b/crates/capacity-slopes/src/fleet_driver.rs
@@ -143,7 +143,7 @@
             DriverEvent::Up { channel, bytes } => {
                 let Some(&(_, s)) = self.channels.get(&channel) else { return };
                 self.schedulers[s].usage.received.frame("of gateways", bytes.len());
-                self.scheduler(s, || Some(SchedulerInput::Gateway(channel, GatewayFrame::from_bytes(&bytes).ok()?)));
+                self.scheduler(s, || Some(SchedulerInput::Gateway(channel, Box::new(GatewayFrame::from_bytes(&bytes).ok()?))));
             }
             DriverEvent::Down { channel, bytes } => {
                 let Some(&(g, _)) = self.channels.get(&channel) else { return };
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -308,7 +308,7 @@
         }
         match *direction {
             Direction::Up(f) if open.1 && self.schedulers[s.0].machine.epoch == s.1 => {
-                self.scheduler(s.0, SchedulerInput::Gateway(channel, f))
+                self.scheduler(s.0, SchedulerInput::Gateway(channel, Box::new(f)))
             }
             Direction::Down(frame) if open.0 && self.gateways[g.0].machine.epoch == g.1 => {
                 self.gateway(g.0, GatewayInput::Frame { channel, frame });
--- a/crates/replicated-log/tests/power_loss.rs
+++ b/crates/replicated-log/tests/power_loss.rs
@@ -48,7 +48,7 @@
     fn after_power_loss(&self, random: &mut ChaCha8Rng) -> Disk {
         let old = self.state();
         let mut bytes = old.synced.clone();
-        let none_lasts = random.next_u32() % 3 == 0;
+        let none_lasts = random.next_u32().is_multiple_of(3);
         for change in old.unsynced.iter().filter(|_| !none_lasts) {
             match (random.next_u32() % 3, change) {
                 (0, _) => {}
--- a/crates/scheduler-core/src/cluster_state.rs
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -73,6 +73,8 @@
     Version { found: u8 },
 }
 
+/// Urgency of the last jobs of a queue that was taken out of the tree.
+const REMOVED_QUEUE_URGENCY: u8 = 6;
 /// Doublings of the patience with a task that stalls, at most.
 const MOST_STALLS: u8 = 16;
 
@@ -184,6 +186,15 @@
         self.effective.get(zone, queue).cloned()
     }
 
+    /// The settings by which tasks of accepted jobs are placed: a queue that was taken out of the tree lends its last jobs what
+    /// the zone passes down.
+    pub fn placement_queue_settings(&self, zone: &str, queue: &str) -> Option<Arc<EffectiveQueue>> {
+        if self.queue_zones.contains_key(queue) {
+            return self.queue_settings(zone, queue);
+        }
+        Some(self.effective.zone(zone).map(|z| z.inherited.clone()).unwrap_or_default())
+    }
+
     /// The strongest urgency, the most waiting jobs and the longest retention of a queue over its zones;
     /// `None` when no zone has it (enabled).
     pub fn queue_bounds(&self, queue: &str) -> Option<(u8, u64, Millis, u64)> {
@@ -203,7 +214,7 @@
 
     /// The urgency in force of a job of a queue: what its caller asked for, up to its queue's.
     pub fn urgency(&self, queue: &str, asked: Option<u8>) -> u8 {
-        let most = self.queue_bounds(queue).map_or(0, |b| b.0);
+        let most = self.queue_bounds(queue).map_or(REMOVED_QUEUE_URGENCY, |b| b.0);
         asked.map_or(most, |a| a.min(most))
     }
 
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -397,7 +397,7 @@
         open && w.told.service == service
             && (kinds.is_empty() || kinds.contains(&w.told.kind))
             && labels.iter().all(|l| w.told.labels.contains(l))
-            && self.queue_settings(&w.told.zone, queue).is_some_and(|q| {
+            && self.placement_queue_settings(&w.told.zone, queue).is_some_and(|q| {
                 let q = &q.settings;
                 (q.kinds.is_empty() || q.kinds.contains(&w.told.kind)) && (q.services.is_empty() || q.services.iter().any(|s| s == service))
             })
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -12,7 +12,7 @@
     ConfigurationAccepted, ConfigurationChange, ConfigurationHistoryList, ConfigurationUpdate, ControlCall, DrainWorker, EffectiveSettings,
     EffectiveValue, EndedAttempt, EvacuateZone, Fault, GatewayFrame, GatewaySummary, GetEffectiveSettings, JobAccepted, JobCancelled,
     JobChange, JobExplanation, JobList, JobNumber, JobSpec, JobState, JobStatus, JobSummary, ListJobs, ListWorkers, MemberChanged,
-    MemberList, MemberSummary, Millis, Name, Outcome, Payload, PutConfiguration, QueueList, QueueUse, RegisterWorker, RemoveWorker,
+    MemberList, MemberSummary, Millis, Name, Outcome, Payload, PutConfiguration, QueueList, QueueUse, RegisterWorker, RemoveWorker, Repeat,
     SchedulerFrame, StartOrder, StepId, StepSpec, StepStatus, StopOrder, TaskCounts, TaskId, ViewUpdate, WIRE_VERSION, WireError,
     WireMessage, WorkerDrained, WorkerFacts, WorkerList, WorkerRegistered, WorkerRemoved, WorkerSummary, ZoneEvacuated,
 };
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -159,7 +159,7 @@
             SchedulerInput::GatewayUp(_) => {}
             SchedulerInput::Call { call, time_budget_ms, body } => self.call(now, call, time_budget_ms, *body),
             SchedulerInput::Leave => self.leave(now),
-            SchedulerInput::Gateway(c, f) => self.gateway(now, c, f),
+            SchedulerInput::Gateway(c, f) => self.gateway(now, c, *f),
             SchedulerInput::GatewayDown(c) => self.gateway_down(now, c),
         }
         self.settle(now);
--- a/crates/scheduler-core/src/scheduler_input.rs
+++ b/crates/scheduler-core/src/scheduler_input.rs
@@ -19,7 +19,7 @@
     /// A gateway opened a channel.
     GatewayUp(ChannelId),
     /// A gateway's frame.
-    Gateway(ChannelId, GatewayFrame),
+    Gateway(ChannelId, Box<GatewayFrame>),
     /// A gateway's channel is gone.
     GatewayDown(ChannelId),
     /// All writes up to this ticket are synced.
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -115,7 +115,7 @@
             for u in [self.state.queue_use.get(&key), self.used.get(&key)].into_iter().flatten() {
                 used = used.add(u.1);
             }
-            if let Some(q) = self.state.queue_settings(z, queue) {
+            if let Some(q) = self.state.placement_queue_settings(z, queue) {
                 share = share.max(q.settings.share);
             }
         }
@@ -300,7 +300,7 @@
             by(free.cpu_millis, g.room.cpu_millis).min(by(free.memory_mb, g.room.memory_mb))
         };
         for (zone, (room, used)) in &self.state.zone_room {
-            let Some(q) = self.state.queue_settings(zone, &g.queue) else { continue };
+            let Some(q) = self.state.placement_queue_settings(zone, &g.queue) else { continue };
             let key = (zone.clone(), g.queue.clone());
             let a = self.state.queue_use.get(&key).copied().unwrap_or_default();
             let b = self.used.get(&key).copied().unwrap_or_default();
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -493,3 +493,155 @@
     assert!(b.ledger.state.tables.workers[&0].draining());
     assert!(matches!(b.one(order(true, "o2")), Some(Err(CallError::Conflict { .. }))));
 }
+
+#[test]
+fn a_queue_taken_out_of_the_tree_takes_no_new_jobs_and_its_last_ones_run() {
+    let mut b = Bench::new(1);
+    let tree = |queue: &str| format!(r#"{{"regions":{{"r":{{"zones":{{"z1":{{"queues":{{"{queue}":{{}}}}}}}}}}}}}}"#);
+    let put = |base, id: &str, queue: &str| Command::PutConfiguration {
+        base_version: base,
+        change_id: id.into(),
+        tree: tree(queue).into_bytes(),
+        source: None,
+    };
+    b.one(put(0, "a", "q"));
+    b.one(Command::Submit { spec: JobSpec::single("j", "q", "s", 1, 100, 100), due_in_ms: 0 });
+    b.one(put(1, "b", "other"));
+    let refused = b.one(Command::Submit { spec: JobSpec::single("k", "q", "s", 1, 100, 100), due_in_ms: 0 });
+    assert!(matches!(refused, Some(Err(CallError::Invalid { .. }))));
+    b.plan();
+    assert_eq!(b.ledger.state.tables.attempts.len(), 1, "the accepted job's task starts");
+}
+
+/// A job of one step, changed by the caller.
+fn job_with(name: &str, tasks: u32, change: impl FnOnce(&mut JobSpec)) -> JobSpec {
+    let mut spec = JobSpec::single(name, "q", "s", tasks, 1_000, 100);
+    change(&mut spec);
+    spec
+}
+
+#[test]
+fn occurrences_of_a_repeated_job_fall_due_in_turn_and_may_overlap() {
+    let mut b = Bench::new(1);
+    let repeat = Repeat { first_unix_ms: 0, interval_ms: 500, count: 3 };
+    let spec = job_with("j", 1, |s| s.repeat = Some(repeat));
+    let due_in_ms = 200;
+    let Some(Ok(AnswerBody::SubmitJob(a))) = b.one(Command::Submit { spec, due_in_ms }) else { panic!() };
+    assert!(b.plan().is_empty(), "none is due");
+    b.now += 200;
+    b.one(Command::Advance);
+    assert_eq!(b.plan(), [(TaskId::new(a.job, 0, 0), 0)]);
+    b.now += 500;
+    b.one(Command::Advance);
+    let second = TaskId { occurrence: 1, ..TaskId::new(a.job, 0, 0) };
+    assert_eq!(b.plan(), [(second, 0)], "though the first still runs");
+    b.now += 500;
+    b.one(Command::Advance);
+    b.plan();
+    for occurrence in 0..3 {
+        let a = b.id(TaskId { occurrence, ..second });
+        b.facts("w0", "b1", |f| f.ended.push(EndedAttempt::new(a, Outcome::Succeeded)));
+    }
+    assert_eq!(b.ledger.state.job("j").unwrap().summary.state, JobState::Succeeded);
+}
+
+#[test]
+fn a_good_end_of_one_member_stands_for_a_gang_that_ends_together() {
+    let mut b = Bench::new(2);
+    let n = b.submit(job_with("g", 2, |s| (s.steps[0].gang, s.steps[0].ends_together) = (true, true)));
+    assert_eq!(b.plan().len(), 2);
+    let (one, two) = (b.id(TaskId::new(n, 0, 0)), b.id(TaskId::new(n, 0, 1)));
+    assert_eq!((one.number, two.number), (1, 1), "members share the number of their run");
+    let workers: Vec<Name> = [one, two].map(|a| b.ledger.state.worker_name(b.attempt(a.task).unwrap().worker)).to_vec();
+    b.facts(&workers[0], "b1", |f| f.ended.push(EndedAttempt::new(one, Outcome::Succeeded)));
+    b.facts(&workers[1], "b1", |f| f.lost.push(two));
+    assert_eq!(b.ledger.state.job("g").unwrap().summary.state, JobState::Succeeded);
+}
+
+#[test]
+fn work_without_an_end_is_started_again_however_it_ends() {
+    let mut b = Bench::new(2);
+    let n = b.submit(job_with("l", 1, |s| (s.run_until_cancelled, s.allowed_failures) = (true, None)));
+    for outcome in [Outcome::Failed, Outcome::Succeeded, Outcome::Failed, Outcome::Lapsed] {
+        assert_eq!(b.plan().len(), 1, "before {outcome:?}");
+        let a = b.id(TaskId::new(n, 0, 0));
+        let worker = b.ledger.state.worker_name(b.attempt(a.task).unwrap().worker);
+        b.facts(&worker, "b1", |f| f.ended.push(EndedAttempt::new(a, outcome)));
+    }
+    assert!(!b.ledger.state.job("l").unwrap().summary.state.is_final());
+}
+
+#[test]
+fn labels_near_racks_and_limits_a_worker_decide_where_tasks_go() {
+    let mut b = Bench::new(0);
+    for (name, rack, label) in [("w0", "r1", "a"), ("w1", "r2", "b"), ("w2", "r3", "a")] {
+        let told = RegisterWorker { rack: rack.into(), labels: vec![label.into()], ..b.told(name, "b1") };
+        b.one(Command::Register(told));
+    }
+    b.submit(job_with("labelled", 1, |s| s.steps[0].labels = vec!["b".into()]));
+    assert_eq!(b.plan()[0].1, 1);
+    b.submit(job_with("near", 1, |s| s.steps[0].near_rack = Some("r3".into())));
+    assert_eq!(b.plan()[0].1, 2);
+    b.submit(job_with("apart", 7, |s| s.steps[0].most_per_worker = 2));
+    let mut on = BTreeMap::new();
+    b.plan().iter().for_each(|(_, w)| *on.entry(*w).or_insert(0) += 1);
+    assert_eq!(on.into_values().collect::<Vec<_>>(), [2, 2, 2], "the seventh waits");
+}
+
+#[test]
+fn a_checkpoint_goes_along_with_the_next_start() {
+    let mut b = Bench::new(2);
+    let n = b.submit(job_with("c", 1, |s| s.steps[0].checkpoints = true));
+    b.plan();
+    let a = b.id(TaskId::new(n, 0, 0));
+    let worker = b.ledger.state.worker_name(b.attempt(a.task).unwrap().worker);
+    let end = EndedAttempt { checkpoint: Some("half".into()), ..EndedAttempt::new(a, Outcome::Stopped) };
+    b.facts(&worker, "b1", |f| f.ended.push(end));
+    b.plan();
+    let updates = b.ledger.updates("g", 7, (0, 0), 0, true);
+    let starts: Vec<_> = updates.iter().flat_map(|u| &u.starts).collect();
+    assert_eq!((starts[0].attempt.number, starts[0].checkpoint.as_deref()), (2, Some("half")));
+}
+
+#[test]
+fn urgent_work_that_fits_nowhere_takes_the_room_of_young_lesser_work() {
+    let mut b = Bench::new(1);
+    let n = b.submit(job_with("batch", 7, |s| s.urgency = Some(1)));
+    b.now += 10_000;
+    b.plan();
+    let a = b.id(TaskId::new(n, 0, 6));
+    for index in 0..7 {
+        let a = b.id(TaskId::new(n, 0, index));
+        b.facts("w0", "b1", |f| f.started.push(a));
+    }
+    b.ledger.state.tables.rules.urgent_from = 3;
+    b.submit(job_with("hold", 1, |s| (s.urgency, s.steps[0].cpu_millis) = (Some(3), 2_000)));
+    let (plans, victims) = StartPlanner::new(&b.ledger.state, b.now, 256).plan();
+    assert!(plans.is_empty());
+    assert_eq!(victims.len(), 1);
+    b.now += 60_000;
+    let (_, victims) = StartPlanner::new(&b.ledger.state, b.now, 256).plan();
+    assert!(victims.is_empty(), "what has run for long goes on: {}", a.task);
+}
+
+#[test]
+fn a_lost_gateways_unproven_starts_are_stopped_at_once() {
+    let mut b = Bench::new(1);
+    let n = b.submit(job_with("j", 1, |_| ()));
+    b.plan();
+    b.one(Command::GatewayLost { name: "g".into(), instance: 7 });
+    assert_eq!(b.attempt(TaskId::new(n, 0, 0)).unwrap().stop, Some(StopReason::Unproven));
+}
+
+#[test]
+fn a_life_of_a_worker_that_is_over_gives_all_its_tasks_back() {
+    let mut b = Bench::new(0);
+    b.one(Command::Register(RegisterWorker { leased: true, ..b.told("w0", "w0") }));
+    let n = b.submit(job_with("j", 2, |_| ()));
+    assert!(b.plan().is_empty(), "its clock isn't known yet");
+    b.facts("w0", "w0", |f| f.reachable = Some(true));
+    assert_eq!(b.plan().len(), 2);
+    b.facts("w0", "w0", |f| f.gone = true);
+    assert!(b.attempt(TaskId::new(n, 0, 0)).is_none());
+    assert!(b.ledger.state.worker("w0").is_none());
+}
--- a/crates/scheduler-core/tests/lone_scheduler_test.rs
+++ b/crates/scheduler-core/tests/lone_scheduler_test.rs
@@ -53,7 +53,7 @@
             configuration: 0,
         };
         self.step(SchedulerInput::GatewayUp(1));
-        self.step(SchedulerInput::Gateway(1, attach));
+        self.step(SchedulerInput::Gateway(1, Box::new(attach)));
         self.tick();
     }
 }
@@ -94,8 +94,8 @@
     };
     l.frames.clear();
     // The first takes the slot of this moment; the second waits for the next one, and its caller doesn't.
-    l.step(SchedulerInput::Gateway(1, ask(1, 5_000, JobSpec { name: "first".into(), ..spec.clone() })));
-    l.step(SchedulerInput::Gateway(1, ask(2, 0, spec)));
+    l.step(SchedulerInput::Gateway(1, Box::new(ask(1, 5_000, JobSpec { name: "first".into(), ..spec.clone() }))));
+    l.step(SchedulerInput::Gateway(1, Box::new(ask(2, 0, spec))));
     l.tick();
     l.tick();
     assert_eq!(l.core.state().tables.next_job, before + 1);
@@ -116,6 +116,6 @@
         view: 0,
         configuration: 0,
     };
-    l.step(SchedulerInput::Gateway(1, attach));
+    l.step(SchedulerInput::Gateway(1, Box::new(attach)));
     assert!(matches!(l.frames.last(), Some(SchedulerFrame::Shed(CallError::UnknownVersion { .. }))));
 }
--- a/crates/scheduler-core/tests/stale_channel_test.rs
+++ b/crates/scheduler-core/tests/stale_channel_test.rs
@@ -25,7 +25,7 @@
         view: 0,
         configuration: 0,
     };
-    let frames = step(&mut s, now, SchedulerInput::Gateway(CHANNEL, attach));
+    let frames = step(&mut s, now, SchedulerInput::Gateway(CHANNEL, Box::new(attach)));
     assert!(frames.iter().any(|f| matches!(f, SchedulerFrame::Attached { .. })));
     (s, now)
 }
@@ -54,7 +54,7 @@
         step(&mut s, at, SchedulerInput::Tick { wall_ms: at });
     }
     let ask = GatewayFrame::Ask { request: 5, time_budget_ms: 60_000, body: GetJob { name: "x".into() }.into_body() };
-    step(&mut s, now, SchedulerInput::Gateway(CHANNEL, ask))
+    step(&mut s, now, SchedulerInput::Gateway(CHANNEL, Box::new(ask)))
 }
 
 #[test]
--- a/crates/scheduler/src/gateway_doors.rs
+++ b/crates/scheduler/src/gateway_doors.rs
@@ -63,7 +63,7 @@
         let Some(Ok(b)) = b else { break };
         let input = match protocol {
             GATEWAY_PROTOCOL => match GatewayFrame::from_bytes(&b) {
-                Ok(f) => SchedulerInput::Gateway(id, f),
+                Ok(f) => SchedulerInput::Gateway(id, Box::new(f)),
                 Err(e) => {
                     warn!(error = %e, "a gateway's frame can't be read: its channel is dropped");
                     counter!("unreadable_frames_total").increment(1);
