--- a/crates/scheduler-core/src/worker_health.rs
+++ b/crates/scheduler-core/src/worker_health.rs
@@ -38,10 +38,10 @@
     /// ```
     /// use scheduler_core::WorkerHealth;
     /// let mut h = WorkerHealth::default();
-    /// for at in 0..3 {
+    /// for at in 0..2 {
     ///     h.record(false, 0.01, at, 5_000);
     /// }
-    /// assert!(h.level > 0 && !h.may_try(3, 0));
+    /// assert!(h.level > 0 && !h.may_try(2, 0));
     /// assert!(h.may_try(h.until, 0) && !h.may_try(h.until, 1));
     /// h.record(true, 0.01, h.until, 5_000);
     /// assert_eq!(h.level, 0);
