Build the tests' worker summaries and attach frames in one place each

Cause: three test files wrote out every field of WorkerSummary, and lone_scheduler_test wrote the same attach frame twice; each new field had to be added to all of them. No assertion changed.

--- a/crates/caller-stand-in/tests/honest_cluster/mod.rs
+++ b/crates/caller-stand-in/tests/honest_cluster/mod.rs
@@ -297,14 +297,7 @@
         zone: "z1".into(),
         cpu_millis: 16_000,
         memory_mb: 64_000,
-        draining: false,
-        gateway: None,
-        used_cpu_millis: 0,
-        used_memory_mb: 0,
-        attempts: 0,
         reachable: true,
-        shun_level: 0,
-        band: BandSummary::default(),
-        leased: false,
+        ..WorkerSummary::default()
     }
 }
--- a/crates/cluster-messages/src/worker_calls.rs
+++ b/crates/cluster-messages/src/worker_calls.rs
@@ -148,7 +148,7 @@
 }
 
 /// A worker, as lists and gateways hold it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 #[cbor(array)]
 pub struct WorkerSummary {
     /// Its name.
--- a/crates/gateway-core/tests/stand/mod.rs
+++ b/crates/gateway-core/tests/stand/mod.rs
@@ -201,15 +201,9 @@
         zone: "z1".into(),
         cpu_millis: 1,
         memory_mb: 1,
-        draining: false,
         gateway: gateway.map(str::to_owned),
-        used_cpu_millis: 0,
-        used_memory_mb: 0,
-        attempts: 0,
         reachable: true,
-        shun_level: 0,
-        band: BandSummary::default(),
-        leased: false,
+        ..WorkerSummary::default()
     }
 }
 
--- a/crates/gateway/tests/daemon_test.rs
+++ b/crates/gateway/tests/daemon_test.rs
@@ -43,15 +43,9 @@
         zone,
         cpu_millis: 1,
         memory_mb: 1,
-        draining: false,
         gateway: Some("g1".into()),
-        used_cpu_millis: 0,
-        used_memory_mb: 0,
-        attempts: 0,
         reachable: true,
-        shun_level: 0,
-        band: BandSummary::default(),
-        leased: false,
+        ..WorkerSummary::default()
     }
 }
 
--- a/crates/scheduler-core/tests/lone_scheduler_test.rs
+++ b/crates/scheduler-core/tests/lone_scheduler_test.rs
@@ -42,22 +42,26 @@
     }
 
     fn attach(&mut self) {
-        let attach = GatewayFrame::Attach {
-            wire_version: WIRE_VERSION,
-            cluster: "c".into(),
-            name: "g".into(),
-            instance: 1,
-            zone: "z1".into(),
-            http_address: "g:1".into(),
-            view: 0,
-            configuration: 0,
-        };
         self.step(SchedulerInput::GatewayUp(1));
-        self.step(SchedulerInput::Gateway(1, Box::new(attach)));
+        self.step(SchedulerInput::Gateway(1, Box::new(attach_frame(WIRE_VERSION))));
         self.tick();
     }
 }
 
+/// What a gateway that speaks this version introduces itself with.
+fn attach_frame(wire_version: u32) -> GatewayFrame {
+    GatewayFrame::Attach {
+        wire_version,
+        cluster: "c".into(),
+        name: "g".into(),
+        instance: 1,
+        zone: "z1".into(),
+        http_address: "g:1".into(),
+        view: 0,
+        configuration: 0,
+    }
+}
+
 #[test]
 fn the_rules_of_the_first_leader_are_in_the_log() {
     let l = Lone::new(5);
@@ -106,16 +110,6 @@
 #[test]
 fn another_wire_version_is_shed_by_type() {
     let mut l = Lone::new(1);
-    let attach = GatewayFrame::Attach {
-        wire_version: WIRE_VERSION + 1,
-        cluster: "c".into(),
-        name: "g".into(),
-        instance: 1,
-        zone: "z1".into(),
-        http_address: "g:1".into(),
-        view: 0,
-        configuration: 0,
-    };
-    l.step(SchedulerInput::Gateway(1, Box::new(attach)));
+    l.step(SchedulerInput::Gateway(1, Box::new(attach_frame(WIRE_VERSION + 1))));
     assert!(matches!(l.frames.last(), Some(SchedulerFrame::Shed(CallError::UnknownVersion { .. }))));
 }
