Let a restarted leader run at once, as the lease to wait out was its own

A leader that was restarted knows better: the term's lease was its own and ended with its process. It now remembers durably that it led its term, runs at once in the next, and its vote request says that the lease is over. Who holds more of the log than it (the leader's own last write may be lost with the power) refuses and runs itself within a heartbeat. Vote requests are sent again each heartbeat, since peers may not listen yet; a dial to a peer has a quarter of an election timeout. Tests: three in replica.rs; the chaos simulation and the model check run over it unchanged.

--- a/crates/replicated-log/src/hard_state.rs
+++ b/crates/replicated-log/src/hard_state.rs
@@ -9,4 +9,8 @@
     /// Whom this member voted for in it.
     #[n(1)]
     pub voted_for: Option<NodeId>,
+    /// Whether this member was elected in it. After a restart nobody else can hold the lease of that term.
+    #[n(2)]
+    #[cbor(default)]
+    pub led: bool,
 }
--- a/crates/replicated-log/src/memory_log_storage.rs
+++ b/crates/replicated-log/src/memory_log_storage.rs
@@ -5,7 +5,7 @@
 /// ```
 /// use replicated_log::prelude::*;
 /// let mut storage = MemoryLogStorage::new(RestoredState::joining());
-/// let hard_state = Some(HardState { term: 2, voted_for: None });
+/// let hard_state = Some(HardState { term: 2, ..HardState::default() });
 /// storage.stage(PersistRequest { ticket: 1, hard_state, ..PersistRequest::default() });
 /// storage.crash();
 /// assert_eq!(storage.load().unwrap().hard_state.term, 0);
--- a/crates/replicated-log/src/message_body.rs
+++ b/crates/replicated-log/src/message_body.rs
@@ -35,7 +35,8 @@
         /// Term of it.
         #[n(1)]
         last_term: Term,
-        /// Set when the leader itself handed over, and has given up its lease.
+        /// Set when the lease of the leader before is surely over: it handed over itself, or the sender was that leader and was
+        /// restarted.
         #[n(2)]
         transfer: bool,
     },
--- a/crates/replicated-log/src/replica.rs
+++ b/crates/replicated-log/src/replica.rs
@@ -26,6 +26,10 @@
     pub(crate) wall: Option<(Millis, Millis)>,
     pub(crate) term: Term,
     pub(crate) voted_for: Option<NodeId>,
+    /// Whether this member was elected in `term`, be it before a restart.
+    pub(crate) led: bool,
+    /// Set at the start of a member that led the newest term it knows, until it has run or hears of another leader.
+    pub(crate) reclaims: bool,
     pub(crate) role: Role,
     pub(crate) leader: Option<NodeId>,
     /// When a leader was last heard; the start counts, since what was promised
@@ -43,6 +47,8 @@
     pub(crate) incoming: Option<SnapshotTransfer>,
     pub(crate) votes: BTreeSet<NodeId>,
     pub(crate) self_vote_ticket: Ticket,
+    /// As a candidate: when the votes were last asked for, and whether the lease before is surely over.
+    pub(crate) votes_asked: (Millis, bool),
     pub(crate) progress: BTreeMap<NodeId, Progress>,
     pub(crate) leader_since: Millis,
     /// The next leader, and when we give up waiting for it to catch up.
@@ -85,6 +91,8 @@
             wall: None,
             term: hard_state.term,
             voted_for: hard_state.voted_for,
+            led: hard_state.led,
+            reclaims: hard_state.led,
             role: RoleChart::embedded().initial,
             leader: None,
             leader_heard_at: Some(now),
@@ -99,6 +107,7 @@
             incoming: None,
             votes: BTreeSet::new(),
             self_vote_ticket: 0,
+            votes_asked: (now, false),
             progress: BTreeMap::new(),
             leader_since: now,
             handover: None,
@@ -150,6 +159,8 @@
         if runs && self.now >= self.election_due {
             self.start_pre_vote();
         }
+        self.reclaim_lead();
+        self.ask_votes_again();
     }
 
     fn answer(&mut self, token: Token, outcome: Result<Index, ProposeError>) {
@@ -223,6 +234,12 @@
             self.counters.votes_ignored += 1;
             return;
         }
+        let released = matches!(body, MessageBody::Vote { transfer: true, .. });
+        if released && term > self.term {
+            // Whatever lease we helped to carry was of a term before this one: of the sender's own, which is over, or of one
+            // before that, which its election waited out.
+            self.leader_heard_at = None;
+        }
         if term > self.term && !matches!(body, MessageBody::PreVote { .. }) {
             self.enter_term(term);
         }
@@ -375,7 +392,7 @@
 
     /// Term and vote.
     pub fn hard_state(&self) -> HardState {
-        HardState { term: self.term, voted_for: self.voted_for }
+        HardState { term: self.term, voted_for: self.voted_for, led: self.led }
     }
 
     /// This member.
--- a/crates/replicated-log/src/replica_election.rs
+++ b/crates/replicated-log/src/replica_election.rs
@@ -44,12 +44,20 @@
         self.shift(RoleEvent::HigherTerm);
         self.term = term;
         self.voted_for = None;
+        self.led = false;
+        self.reclaims = false;
         self.leader = None;
         self.votes.clear();
         self.incoming = None;
         self.stage_hard_state();
     }
 
+    /// Whoever runs lacks entries that we hold, and no lease stands in the way: we run ourselves, after a short random wait.
+    fn run_soon(&mut self) {
+        let wait = self.random.below(self.settings.heartbeat_ms);
+        self.election_due = min(self.election_due, self.now + wait);
+    }
+
     fn up_to_date(&self, last_index: Index, last_term: Term) -> bool {
         (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
     }
@@ -84,14 +92,38 @@
         self.reset_election_due();
         self.term += 1;
         self.voted_for = Some(self.id);
+        self.led = false;
+        self.reclaims = false;
         self.leader = None;
         self.incoming = None;
         self.stage_hard_state();
         self.votes.clear();
         self.self_vote_ticket = self.outbox.current_ticket();
-        let transfer = event == RoleEvent::TransferReceived;
+        self.votes_asked = (self.now, matches!(event, RoleEvent::TransferReceived | RoleEvent::LeadReclaimed));
+        self.ask_voters(&self.vote_request());
+    }
+
+    fn vote_request(&self) -> MessageBody {
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        self.ask_voters(&MessageBody::Vote { last_index, last_term, transfer });
+        MessageBody::Vote { last_index, last_term, transfer: self.votes_asked.1 }
+    }
+
+    /// A member that led the newest term it knows, and was restarted, runs at once: the lease that the others wait out was its
+    /// own, and ended with its process. Whoever was elected since has the votes of a quorum in a term no older than the one it
+    /// runs in, so it can't win beside them.
+    pub(crate) fn reclaim_lead(&mut self) {
+        if self.reclaims && self.role == Role::Follower {
+            self.leader_heard_at = None;
+            self.campaign(RoleEvent::LeadReclaimed);
+        }
+    }
+
+    /// A vote request may be lost, above all when all members start at once: it is sent again until the run is over.
+    pub(crate) fn ask_votes_again(&mut self) {
+        if self.role == Role::Candidate && self.now >= self.votes_asked.0 + self.settings.heartbeat_ms {
+            self.votes_asked.0 = self.now;
+            self.ask_voters(&self.vote_request());
+        }
     }
 
     /// Moves on when a quorum has granted; our own vote counts once it is synced.
@@ -117,6 +149,8 @@
         }
         self.counters.elections_won += 1;
         self.votes.clear();
+        self.led = true;
+        self.stage_hard_state();
         self.leader = Some(self.id);
         self.leader_since = self.now;
         self.uncommitted_bytes = self.log.range(self.commit + 1, self.log.last_index()).map(LogEntry::size).sum();
@@ -147,6 +181,9 @@
             self.stage_hard_state();
             self.reset_election_due();
         }
+        if current && self.role == Role::Follower && !self.up_to_date(last_index, last_term) && !self.leader_lives() {
+            self.run_soon();
+        }
         self.send(from, Gate::HardState, MessageBody::VoteReply { granted });
     }
 
--- a/crates/replicated-log/src/role_event.rs
+++ b/crates/replicated-log/src/role_event.rs
@@ -8,6 +8,8 @@
     ElectionTimeout,
     /// A quorum would vote for us.
     PreVoteWon,
+    /// We led the newest term we know of, and were restarted.
+    LeadReclaimed,
     /// The leader handed over to us.
     TransferReceived,
     /// A quorum voted for us.
--- a/crates/replicated-log/src/stored_record.rs
+++ b/crates/replicated-log/src/stored_record.rs
@@ -9,7 +9,7 @@
 ///
 /// ```
 /// use replicated_log::prelude::*;
-/// let hard_state = HardState { term: 3, voted_for: Some(2) };
+/// let hard_state = HardState { term: 3, voted_for: Some(2), led: false };
 /// let mut bytes = StoredRecord::encode(&hard_state);
 /// assert_eq!(StoredRecord::decode::<HardState>(&bytes).unwrap(), hard_state);
 /// bytes[6] ^= 1;
--- a/crates/replicated-log/tests/replica.rs
+++ b/crates/replicated-log/tests/replica.rs
@@ -328,3 +328,64 @@
     assert_eq!(shed_reason(replica.step(ELECTED_AT, ask())), None);
     assert!(!replica.membership().is_voter(3) && !replica.membership_committed());
 }
+
+#[test]
+fn a_restarted_leader_leads_again_without_waiting_out_its_own_lease() {
+    for seed in 0..20 {
+        let (mut world, leader) = led(seed);
+        let end = world.now;
+        for id in 1..=3 {
+            world.crash(id);
+        }
+        for id in 1..=3 {
+            world.start(id);
+        }
+        // Well within one election timeout, which all others would have to wait out.
+        world.run_until(end + 80);
+        assert_eq!(world.leader(), Some(leader), "seed {seed}: {}", world.describe());
+        assert!(world.checker.violations.is_empty(), "{:?}", world.checker.violations);
+    }
+}
+
+#[test]
+fn a_restarted_leader_that_was_replaced_disturbs_nobody() {
+    for seed in 0..20 {
+        let (mut world, leader) = led(seed);
+        world.crash(leader);
+        world.run_until(world.now + 600);
+        let next = world.leader().expect("another leader");
+        let term = replica(&world, next).term();
+        world.start(leader);
+        world.run_until(world.now + 600);
+        assert_eq!((world.leader(), replica(&world, next).term()), (Some(next), term), "seed {seed}");
+        assert!(world.checker.violations.is_empty(), "{:?}", world.checker.violations);
+    }
+}
+
+#[test]
+fn only_the_member_that_was_elected_remembers_that_it_led() {
+    let (world, leader) = led(3);
+    for id in 1..=3 {
+        assert_eq!(replica(&world, id).hard_state().led, id == leader);
+    }
+}
+
+#[test]
+fn a_member_that_holds_more_than_the_restarted_leader_runs_soon_itself() {
+    let mut stored = RestoredState::founding(Membership::of_voters((1..=3).map(|i| (i, home(i)))));
+    stored.hard_state = HardState { term: 1, voted_for: Some(2), led: false };
+    stored.entries = (1..=2).map(|index| LogEntry { term: 1, index, log_time: index, body: LogEntryBody::Noop }).collect();
+    let mut replica = Replica::new(support::world::quick_settings(), 7, 1, stored, 0, ChaCha8Rng::seed_from_u64(1));
+    // The leader of term 1 lost its last write with the power, and tells that it is back.
+    let vote = MessageBody::Vote { last_index: 1, last_term: 1, transfer: true };
+    let mut effects = replica.step(5, Input::Message(Message { cluster: 7, from: 2, to: 1, term: 2, body: vote }));
+    while let Some(Effect::Persist(request)) = effects.first().cloned() {
+        effects = replica.step(6, Input::Persisted { ticket: request.ticket });
+    }
+    let refused = |e: &Effect| matches!(e, Effect::Send { message, .. } if message.body == MessageBody::VoteReply { granted: false });
+    assert!(effects.iter().any(refused), "{effects:?}");
+    // A heartbeat later, and not an election timeout later, it asks for pre-votes.
+    let effects = replica.step(26, Input::Tick { wall_ms: 0 });
+    let asks = |e: &&Effect| matches!(e, Effect::Send { message, .. } if matches!(message.body, MessageBody::PreVote { .. }));
+    assert_eq!(effects.iter().filter(asks).count(), 2, "{effects:?}");
+}
--- a/crates/replicated-log/tests/storage.rs
+++ b/crates/replicated-log/tests/storage.rs
@@ -15,7 +15,7 @@
 /// Writes of every kind, in the order a replica might ask for them.
 fn writes() -> Vec<PersistRequest> {
     let base = PersistRequest::default;
-    let hard_state = Some(HardState { term: 4, voted_for: Some(2) });
+    let hard_state = Some(HardState { term: 4, voted_for: Some(2), led: false });
     let Some(mut snapshot) = founding().snapshot else { unreachable!() };
     (snapshot.index, snapshot.term, snapshot.bytes) = (6, 2, (0..1000).map(|b| b as u8).collect());
     let far = Snapshot { index: 20, term: 4, bytes: vec![9; 33], ..snapshot.clone() };
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -138,6 +138,11 @@
         &self.ledger.state
     }
 
+    /// The newest events.
+    pub fn journal(&self) -> &Journal {
+        &self.ledger.journal
+    }
+
     /// Whether it leads, has applied all that was committed before, and holds its lease.
     pub fn is_serving(&self, now: Millis) -> bool {
         self.leading.is_some_and(|l| l.1) && self.replica.lease_valid(now)
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -116,6 +116,7 @@
         let mut last_call = 0;
         let mut leader_told = None;
         let mut members_told = MemberNews::default();
+        let mut trace = EventTrace::default();
         let mut ticks = tokio::time::interval(budget / TICKS_A_TIMEOUT as u32);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         let mut peers = PeerLinks::new(self.settings.listen_internal.ip(), budget);
@@ -151,6 +152,7 @@
             let began = self.clock.now();
             let kind = input.kind();
             let effects = core.step(began, input);
+            trace.tell(&core, began);
             let took = self.clock.now() - began;
             if took > c.log.election_timeout_ms / SLOW_STEP_PART {
                 info!(took_ms = took, kind, "slow step");
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod daemon_error;
 mod disk_writer;
+mod event_trace;
 mod gateway_doors;
 mod peer_links;
 
--- a/crates/scheduler/src/peer_links.rs
+++ b/crates/scheduler/src/peer_links.rs
@@ -10,6 +10,8 @@
 
 /// First byte of a channel between schedulers.
 pub const PEER_PROTOCOL: u8 = b'P';
+/// How long a dial may take, as a part of an election timeout: a packet that a dead machine swallowed is tried again soon.
+const DIAL_PART: u32 = 4;
 /// Frames that wait for one peer at most.
 const INBOX_FRAMES: usize = 1_024;
 
@@ -25,7 +27,7 @@
         if !alive {
             let Ok(to) = address.parse::<SocketAddr>() else { return };
             let (tx, rx) = mpsc::channel(INBOX_FRAMES);
-            tokio::spawn(run(self.from, to, self.budget, rx));
+            tokio::spawn(run(self.from, to, self.budget / DIAL_PART, rx));
             self.links.insert(address.to_owned(), tx);
         }
         if let Some(l) = self.links.get(address)
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -23,12 +23,13 @@
 pub use snafu::{OptionExt, ResultExt, Snafu};
 pub use tokio::sync::{mpsc, oneshot};
 pub use tokio::time::timeout;
-pub use tracing::{error, info, warn};
+pub use tracing::{Level, debug, enabled, error, info, warn};
 pub use viz::{Request as VizRequest, Response as VizResponse, ResponseExt, Router, serve};
 
 pub use crate::control_port::{ControlCallEvent, ControlPort, ControlSurface, OwnPages};
 pub use crate::daemon::Daemon;
 pub use crate::daemon_error::DaemonError;
 pub use crate::disk_writer::DiskWriter;
+pub use crate::event_trace::EventTrace;
 pub use crate::gateway_doors::{GatewayDoors, Incoming, read};
 pub use crate::peer_links::PeerLinks;
