Tell a silent worker from its first unanswered order; hold urgent work near its data

Now an order waits half a hold interval, its silence tells at once, and a look has 0.2 s of slack. An order that never left says nothing of its worker (it counted as an answer). (2) one in five tasks with data near a rack ran elsewhere, for 1.5 to 2 times as long, while that rack was full of lesser work that ends within a fraction of a second. Urgent tasks now wait up to a quarter of their estimate (250 ms at most) for room there, and lesser work leaves such racks alone meanwhile. Tests: lease_test, ledger_test; session_test's clock goes in steps of 5 ms, as the dial budget is no multiple of 10.

--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -494,14 +494,17 @@
         }
     }
 
-    /// A start or a stop is over, with an answer or without.
-    fn order_over(&mut self, worker: &str, answered: bool) {
+    /// A start or a stop is over: an answer shows that the worker is there, silence counts against it, and an order that never
+    /// left says nothing.
+    fn order_over<A>(&mut self, worker: &str, reply: &Reply<A>) {
         let Some(h) = self.share.get_mut(worker) else { return };
-        if answered {
-            h.order_answered();
-        } else if h.order_error() {
-            let boot = h.boot().to_owned();
-            self.facts.line(worker, &boot).reachable = Some(false);
+        match reply {
+            Reply::Answer(_) | Reply::OtherLife => h.order_answered(),
+            Reply::Unknown if h.order_error() => {
+                let boot = h.boot().to_owned();
+                self.facts.line(worker, &boot).reachable = Some(false);
+            }
+            Reply::Unknown | Reply::NotSent => {}
         }
     }
 
@@ -518,7 +521,7 @@
             }
         };
         if let Some(worker) = self.starts.worker(a) {
-            self.order_over(&worker, !matches!(reply, Reply::Unknown));
+            self.order_over(&worker, &reply);
             if let Reply::Answer(r) = &reply {
                 self.clock_shown(&worker, r.clock_ms);
             }
@@ -551,7 +554,7 @@
             h.answered_as(self.steps, sent, &r.boot_id);
         }
         let known = self.share.boot(worker);
-        self.order_over(worker, !matches!(reply, Reply::Unknown));
+        self.order_over(worker, &reply);
         if matches!(reply, Reply::OtherLife) {
             return self.other_life(worker);
         }
--- a/crates/gateway-core/src/gateway_settings.rs
+++ b/crates/gateway-core/src/gateway_settings.rs
@@ -47,9 +47,9 @@
         part(self.gateway_silence_ms, 2)
     }
 
-    /// How long a dial may take.
+    /// How long a dial may take: a packet that a dead machine swallowed is sent again soon.
     pub fn dial_budget(&self) -> Millis {
-        part(self.gateway_silence_ms, 4)
+        part(self.gateway_silence_ms, 8)
     }
 
     /// First wait between two dials.
@@ -146,7 +146,18 @@
 
     /// How long after its wait a hold of a worker with a lease is given up.
     pub fn leased_slack(&self) -> Millis {
-        part(self.hold_interval_ms * 4, 5)
+        part(self.hold_interval_ms * 2, 5)
+    }
+
+    /// How long a start or a stop waits for its answer. Where workers list what runs by their own clock, a list tells soon what
+    /// came of an order, and silence is worth knowing at once.
+    pub fn order_budget(&self) -> Millis {
+        if self.lease_most_ms > 0 { part(self.hold_interval_ms, 2) } else { self.hold_budget() }
+    }
+
+    /// How long a connection to a worker may take to open.
+    pub fn connect_budget(&self) -> Millis {
+        self.hold_interval_ms.min(self.order_budget())
     }
 
     /// How long a worker that would answer at once with nothing new is left alone.
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -4,6 +4,8 @@
 const PAST_BOOTS: usize = 8;
 /// Errors in a row after which a worker counts as out of reach.
 const ERRORS: u32 = 2;
+/// Orders without an answer after which a worker with a lease does: what it is given meanwhile is lost until the lease lapses.
+const SILENT_ORDERS: u32 = 1;
 
 /// What a boot id says about a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -333,7 +335,8 @@
     /// would tell so much later.
     pub fn order_error(&mut self) -> bool {
         self.silent_orders = self.silent_orders.saturating_add(1);
-        let lost = self.mine && self.reachable && self.silent_orders >= ERRORS;
+        let most = if self.leased { SILENT_ORDERS } else { ERRORS };
+        let lost = self.mine && self.reachable && self.silent_orders >= most;
         if lost {
             self.reachable = false;
         }
--- a/crates/gateway-core/tests/lease_test.rs
+++ b/crates/gateway-core/tests/lease_test.rs
@@ -143,3 +143,26 @@
     let fx = pass(&mut t, 100);
     assert!(holds(&fx).iter().any(|h| h.observed == 7), "{fx:?}");
 }
+
+#[test]
+fn one_order_without_an_answer_puts_a_worker_out_of_reach_until_it_answers() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[], &[]);
+    t.give(id(1));
+    let mut fx = t.started(id(1), Reply::Unknown);
+    fx.extend(pass(&mut t, 100));
+    assert!(facts(&fx).iter().any(|f| f.reachable == Some(false)), "{fx:?}");
+    let mut fx = answer(&mut t, 50_100, &[], &[]);
+    fx.extend(pass(&mut t, 100));
+    assert!(facts(&fx).iter().any(|f| f.reachable == Some(true)));
+}
+
+#[test]
+fn an_order_that_never_left_says_nothing_of_its_worker() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[], &[]);
+    t.give(id(1));
+    let mut fx = t.started(id(1), Reply::NotSent);
+    fx.extend(pass(&mut t, 100));
+    assert!(facts(&fx).iter().all(|f| f.reachable.is_none()));
+}
--- a/crates/gateway-core/tests/session_test.rs
+++ b/crates/gateway-core/tests/session_test.rs
@@ -150,6 +150,6 @@
     t.until(|e| matches!(e, GatewayEffect::Dial { .. }));
     t.channel = 1;
     t.step(GatewayInput::ChannelUp { channel: 1, address: LEADER.into() });
-    let closed = (0..).find(|_| t.tick(10).iter().any(|e| matches!(e, GatewayEffect::CloseChannel { .. }))).unwrap();
-    assert_eq!((closed + 1) * 10, GatewaySettings::default().dial_budget());
+    let closed = (0..).find(|_| t.tick(5).iter().any(|e| matches!(e, GatewayEffect::CloseChannel { .. }))).unwrap();
+    assert_eq!((closed + 1) * 5, GatewaySettings::default().dial_budget());
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -71,10 +71,10 @@
         let (events, event_inbox) = mpsc::channel(EVENT_BOUND);
         let (asks, ask_inbox) = AskPort::new(ASK_BOUND);
         let view = Arc::new(ArcSwap::new(core.view()));
-        let http = HttpCaller::new(own, clock, Duration::from_millis(core_settings.hold_interval_ms));
+        let http = HttpCaller::new(own, clock, Duration::from_millis(core_settings.connect_budget()));
         let dialer = ChannelDialer::new(own, core_settings.dial_budget(), events.clone());
         tokio::spawn(take_seeds(reload, events.clone()));
-        let workers = WorkerCaller::new(http, surface.workers(), core_settings.hold_budget(), events);
+        let workers = WorkerCaller::new(http, surface.workers(), core_settings.order_budget(), events);
         let core_task = tokio::spawn(CoreLoop::new(core, clock, view.clone(), dialer, workers).run(event_inbox, ask_inbox));
         let ports = Arc::new(GatewayPorts {
             node: s.node_name.clone(),
--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -21,6 +21,7 @@
 mod peer_frame;
 mod preemption;
 mod queries;
+mod rack_waits;
 mod ready_index;
 mod scheduler;
 mod scheduler_input;
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -31,6 +31,7 @@
     halted: bool,
     dirty: bool,
     planned_at: Millis,
+    rack_waits: RackWaits,
     pub(crate) peers: BTreeMap<u64, PeerMember>,
     pub(crate) greeted_at: Option<Millis>,
     pub(crate) repaired_at: Millis,
@@ -116,6 +117,7 @@
             halted: false,
             dirty: true,
             planned_at: 0,
+            rack_waits: RackWaits::default(),
             peers: BTreeMap::new(),
             greeted_at: None,
             repaired_at: now,
@@ -575,12 +577,14 @@
         self.dirty = false;
         self.planned_at = now;
         self.counters.rounds += 1;
-        let (plans, victims) = StartPlanner::new(&self.ledger.state, self.replica.log_time(now), ROUND_STARTS).plan();
+        let log_time = self.replica.log_time(now);
+        let PlannedRound { starts, victims, held } = StartPlanner::new(&self.ledger.state, log_time, ROUND_STARTS, &self.rack_waits).plan();
+        self.rack_waits.settle(log_time, &held);
         if !victims.is_empty() {
             self.counters.preempted += victims.len() as u64;
             self.inbox.push_back((Command::Preempt(victims), None, Millis::MAX));
         }
-        for (starts, gang) in plans {
+        for (starts, gang) in starts {
             self.counters.planned += starts.len() as u64;
             self.inbox.push_back((Command::Start { starts, gang }, None, Millis::MAX));
         }
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -3,6 +3,17 @@
 /// One planned group of starts: (task, worker), and whether all or none.
 pub type PlannedStarts = (Vec<(TaskId, WorkerIndex)>, bool);
 
+/// What one round of placement came to.
+#[derive(Clone, Debug, Default)]
+pub struct PlannedRound {
+    /// The starts.
+    pub starts: Vec<PlannedStarts>,
+    /// Attempts that are to make room for urgent work.
+    pub victims: Vec<TaskId>,
+    /// Steps with tasks that wait for room near their data.
+    pub held: BTreeSet<StepId>,
+}
+
 /// A group of alike tasks with its steps, the step due first in front.
 type GroupSteps<'a> = (&'a ReadyGroup, Vec<ReadyStep>);
 
@@ -28,6 +39,10 @@
     plans: Vec<PlannedStarts>,
     count: usize,
     preemption: Preemption<'a>,
+    waits: &'a RackWaits,
+    held: BTreeSet<StepId>,
+    /// Racks that urgent tasks wait for: lesser work leaves them alone.
+    awaited_racks: BTreeSet<&'a Name>,
 }
 
 /// A worker whose tasks take longer than this against their like counts as slow.
@@ -39,7 +54,7 @@
 
 impl<'a> StartPlanner<'a> {
     /// A planner over a state.
-    pub fn new(state: &'a ClusterState, now: Millis, most: usize) -> Self {
+    pub fn new(state: &'a ClusterState, now: Millis, most: usize, waits: &'a RackWaits) -> Self {
         let fleet = state.zone_room.values().fold(Room::new(0, 0), |s, z| s.add(z.0));
         StartPlanner {
             state,
@@ -54,11 +69,14 @@
             plans: Vec::new(),
             count: 0,
             preemption: Preemption::new(state, now),
+            waits,
+            held: BTreeSet::new(),
+            awaited_racks: BTreeSet::new(),
         }
     }
 
-    /// Plans one round: the starts, and the attempts that are to make room for urgent work.
-    pub fn plan(mut self) -> (Vec<PlannedStarts>, Vec<TaskId>) {
+    /// Plans one round.
+    pub fn plan(mut self) -> PlannedRound {
         let mut levels: BTreeMap<Reverse<u8>, Vec<GroupSteps<'a>>> = BTreeMap::new();
         for (g, steps) in self.state.ready.groups() {
             let u = self.state.urgency(&g.queue, g.asked);
@@ -70,7 +88,7 @@
                 break;
             }
         }
-        (self.plans, self.preemption.into_victims())
+        PlannedRound { starts: self.plans, victims: self.preemption.into_victims(), held: self.held }
     }
 
     /// Plans all groups of one urgency, the queue that lags most behind its share first.
@@ -124,7 +142,7 @@
     }
 
     /// Plans the waiting tasks of one step; false when its group fits nowhere now.
-    fn plan_step(&mut self, urgency: u8, g: &ReadyGroup, id: StepId) -> bool {
+    fn plan_step(&mut self, urgency: u8, g: &'a ReadyGroup, id: StepId) -> bool {
         let Some(j) = self.state.tables.jobs.get(&id.job) else { return true };
         let (Some(spec), Some(s)) = (j.spec.as_deref(), j.step(id)) else { return true };
         let allowed = self.allowed(g);
@@ -138,7 +156,16 @@
         }
         let mut starts = Vec::new();
         let mut fits = true;
+        let rack = g.near_rack.as_ref().filter(|_| self.may_hold(&placement));
         for index in s.waiting().take(self.most - self.count) {
+            // One that failed somewhere has lost its time already, and should avoid a worker more than a way.
+            if let Some(rack) = rack.filter(|_| s.tasks[index as usize].avoid.is_none()) {
+                match self.places(&placement, &[index], &|w| w.told.rack == *rack && is_sound(w)) {
+                    Some(p) => starts.extend(p.into_iter().map(|w| (id.task(index), w))),
+                    None => self.hold(id, rack),
+                }
+                continue;
+            }
             match self.places(&placement, &[index], &|_| true) {
                 Some(p) => starts.extend(p.into_iter().map(|w| (id.task(index), w))),
                 None => {
@@ -156,6 +183,20 @@
         fits
     }
 
+    /// Whether urgent tasks may wait a little for room near their data: elsewhere they would take far longer.
+    fn may_hold(&self, p: &StepPlacement<'_>) -> bool {
+        let rules = &self.state.tables.rules;
+        let estimate_ms = p.spec.steps.get(usize::from(p.id.step)).map_or(0, |s| s.estimate_ms);
+        let known = p.allowed.values().any(|w| Some(&w.told.rack) == p.group.near_rack.as_ref());
+        known && p.urgency >= rules.urgent_from && self.waits.may_wait(p.id, self.now, estimate_ms, rules.hold_interval_ms)
+    }
+
+    /// Leaves the tasks of a step waiting, and their rack to urgent work.
+    fn hold(&mut self, id: StepId, rack: &'a Name) {
+        self.held.insert(id);
+        self.awaited_racks.insert(rack);
+    }
+
     /// Makes room for urgent tasks that fit nowhere, as far as that goes.
     fn preempt(&mut self, p: &StepPlacement<'_>, waiting: usize) {
         if p.urgency < self.state.tables.rules.urgent_from {
@@ -229,12 +270,15 @@
         within: &dyn Fn(&WorkerRecord) -> bool,
     ) -> Option<WorkerIndex> {
         let g = p.group;
+        let urgent = p.urgency >= self.state.tables.rules.urgent_from;
         let base = self.state.task_to_place(p.spec, p.id.step, 0);
         let fits = |w: WorkerIndex, r: &WorkerRecord| {
             let live = self.state.on_worker.get(&w).map_or(0, BTreeSet::len) + usize::from(self.given.contains_key(&w));
             let in_zone = taken.get(&r.told.zone).copied().unwrap_or(0) < zones.get(&r.told.zone).copied().unwrap_or(0);
             let free = r.room().sub(r.used);
+            let left_alone = !urgent && self.awaited_racks.contains(&r.told.rack);
             in_zone
+                && !left_alone
                 && r.health.may_try(self.now, live)
                 && g.room.add(self.given.get(&w).copied().unwrap_or_default()).fits(free)
                 && g.spread.is_none_or(|(most, id)| self.of_step(w, id) < most)
@@ -245,7 +289,6 @@
             return None;
         }
         let near = |w: &WorkerRecord| g.near_rack.as_ref().is_none_or(|r| *r == w.told.rack);
-        let urgent = p.urgency >= self.state.tables.rules.urgent_from;
         // Urgent work takes the fast ones; the rest leaves some room on each worker for it.
         let spares = |w: &WorkerRecord| {
             let free = w.room().sub(w.used).sub(g.room);
@@ -253,9 +296,8 @@
             cpu.min(memory) >= SPARED_PPM
         };
         let fast = |w: &WorkerRecord| if urgent { w.pace.ratio <= FAST_RATIO } else { spares(w) };
-        let sound = |w: &WorkerRecord| w.pace.ratio <= SLOW_RATIO && !w.health.is_doubted();
         let tiers: [&dyn Fn(&WorkerRecord) -> bool; 5] =
-            [&|w| near(w) && fast(w) && sound(w), &|w| near(w) && sound(w), &|w| fast(w) && sound(w), &|w| sound(w), &|_| true];
+            [&|w| near(w) && fast(w) && is_sound(w), &|w| near(w) && is_sound(w), &|w| fast(w) && is_sound(w), &is_sound, &|_| true];
         let pick = |tier: &dyn Fn(&WorkerRecord) -> bool, avoid: Option<WorkerIndex>| {
             self.state.bands.assign(self.now, &base, |w| Some(w) != avoid && able.get(&w).is_some_and(|r| tier(r)))
         };
@@ -329,6 +371,11 @@
     }
 }
 
+/// Whether a worker is neither slow nor doubted.
+fn is_sound(w: &WorkerRecord) -> bool {
+    w.pace.ratio <= SLOW_RATIO && !w.health.is_doubted()
+}
+
 /// A step whose tasks are to be placed, and what limits that.
 struct StepPlacement<'p> {
     urgency: u8,
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -47,7 +47,7 @@
 
     /// One round of placement; gives what started.
     fn plan(&mut self) -> Vec<(TaskId, WorkerIndex)> {
-        let (plans, _) = StartPlanner::new(&self.ledger.state, self.now, 256).plan();
+        let PlannedRound { starts: plans, .. } = StartPlanner::new(&self.ledger.state, self.now, 256, &RackWaits::default()).plan();
         let mut all = Vec::new();
         for (starts, gang) in plans {
             all.extend(starts.clone());
@@ -616,11 +616,11 @@
     }
     b.ledger.state.tables.rules.urgent_from = 3;
     b.submit(job_with("hold", 1, |s| (s.urgency, s.steps[0].cpu_millis) = (Some(3), 2_000)));
-    let (plans, victims) = StartPlanner::new(&b.ledger.state, b.now, 256).plan();
+    let PlannedRound { starts: plans, victims, .. } = StartPlanner::new(&b.ledger.state, b.now, 256, &RackWaits::default()).plan();
     assert!(plans.is_empty());
     assert_eq!(victims.len(), 1);
     b.now += 60_000;
-    let (_, victims) = StartPlanner::new(&b.ledger.state, b.now, 256).plan();
+    let PlannedRound { victims, .. } = StartPlanner::new(&b.ledger.state, b.now, 256, &RackWaits::default()).plan();
     assert!(victims.is_empty(), "what has run for long goes on: {}", a.task);
 }
 
@@ -645,3 +645,34 @@
     assert!(b.attempt(TaskId::new(n, 0, 0)).is_none());
     assert!(b.ledger.state.worker("w0").is_none());
 }
+
+#[test]
+fn urgent_work_waits_a_little_for_room_near_its_data() {
+    let mut b = Bench::new(0);
+    for (name, rack) in [("near", "r1"), ("far", "r2")] {
+        b.one(Command::Register(RegisterWorker { rack: rack.into(), ..b.told(name, "b1") }));
+    }
+    b.ledger.state.tables.rules.urgent_from = 3;
+    b.submit(job_with("batch", 8, |s| s.steps[0].near_rack = Some("r1".into())));
+    assert_eq!(b.plan().len(), 8);
+    let n = b.submit(job_with("hold", 1, |s| {
+        s.urgency = Some(3);
+        s.steps[0].near_rack = Some("r1".into());
+        s.steps[0].estimate_ms = 800;
+    }));
+    // Lesser work doesn't slip into the rack that it waits for.
+    b.submit(job_with("lesser", 8, |_| ()));
+    b.ended(TaskId::new(1, 0, 0), Outcome::Succeeded);
+    let mut waits = RackWaits::default();
+    let near = b.ledger.state.tables.workers.iter().find(|(_, w)| w.told.rack == "r1").map(|(i, _)| *i).unwrap();
+    b.ledger.state.tables.workers.get_mut(&near).unwrap().used = Room::new(8_000, 8_000);
+    let round = StartPlanner::new(&b.ledger.state, b.now, 256, &waits).plan();
+    assert_eq!(round.held, [TaskId::new(n, 0, 0).step_id()].into());
+    assert!(round.starts.iter().flat_map(|s| &s.0).all(|(t, w)| t.job != n && *w != near), "{:?}", round.starts);
+    waits.settle(b.now, &round.held);
+    // Its patience is a quarter of its estimate.
+    b.now += 200;
+    let round = StartPlanner::new(&b.ledger.state, b.now, 256, &waits).plan();
+    assert!(round.held.is_empty());
+    assert!(round.starts.iter().flat_map(|s| &s.0).any(|(t, w)| t.job == n && *w != near));
+}
