--- a/crates/scheduler-core/src/rack_waits.rs
+++ b/crates/scheduler-core/src/rack_waits.rs
@@ -8,9 +8,9 @@
 }
 
 /// Part of its estimate that a task may wait for room near its data.
-const WAIT_PART: Millis = 4;
+const WAIT_PART: Millis = 3;
 /// It waits no longer than this part of a hold interval, whatever its estimate.
-const WAIT_HOLD_PART: Millis = 2;
+const WAIT_HOLD_PART: Millis = 1;
 
 impl RackWaits {
     /// Whether tasks of a step may wait (on), with such an estimate for each; 0: nobody knows, so they don't.
@@ -22,8 +22,8 @@
     /// let mut waits = RackWaits::default();
     /// assert!(waits.may_wait(step, 1_000, 800, 500));
     /// waits.settle(1_000, &[step].into());
-    /// assert!(waits.may_wait(step, 1_150, 800, 500));
-    /// assert!(!waits.may_wait(step, 1_250, 800, 500));
+    /// assert!(waits.may_wait(step, 1_250, 800, 500));
+    /// assert!(!waits.may_wait(step, 1_300, 800, 500));
     /// ```
     pub fn may_wait(&self, step: StepId, now: Millis, estimate_ms: Millis, hold_interval_ms: Millis) -> bool {
         let patience = (estimate_ms / WAIT_PART).min(hold_interval_ms / WAIT_HOLD_PART);
