--- a/crates/process-plumbing/src/http_caller.rs
+++ b/crates/process-plumbing/src/http_caller.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// Idle channels kept for each host.
-const IDLE_PER_HOST: usize = 4;
+const IDLE_PER_HOST: usize = 12;
 /// How long an idle channel is kept.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
