Start copies of urgent tasks whose worker falls silent, where their step allows it

The old attempt becomes an orphan: to be stopped, its worker barred until its end is proven, its good end counted, its failures counted. Orphans that a lapsed lease or a list without them proves gone are cleared (they were not).

--- a/crates/cluster-messages/src/job_spec.rs
+++ b/crates/cluster-messages/src/job_spec.rs
@@ -120,6 +120,11 @@
     #[n(15)]
     #[serde(default, skip_serializing_if = "is_default")]
     pub ends_together: bool,
+    /// True: copies of a task may run side by side, and whichever ends first counts.
+    #[n(16)]
+    #[cbor(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub copies: bool,
 }
 
 /// A job whose steps run several times. Occurrences may overlap.
--- a/crates/cluster-messages/src/worker_facts.rs
+++ b/crates/cluster-messages/src/worker_facts.rs
@@ -47,6 +47,10 @@
     /// This life of the worker is over for good.
     #[n(13)]
     pub gone: bool,
+    /// It answers neither orders nor looks: what runs there may take until its lease lapses to be proven over.
+    #[n(14)]
+    #[cbor(default)]
+    pub silent: bool,
 }
 
 /// The last checkpoint of an attempt.
@@ -74,5 +78,6 @@
             && self.stalled.is_empty()
             && !self.lapsed
             && !self.gone
+            && !self.silent
     }
 }
--- a/crates/gateway-core/src/fact_line.rs
+++ b/crates/gateway-core/src/fact_line.rs
@@ -25,12 +25,14 @@
     pub lapsed: bool,
     /// This life of the worker is over.
     pub gone: bool,
+    /// It answers neither orders nor looks.
+    pub silent: bool,
 }
 
 impl FactLine {
     /// How many facts.
     pub fn len(&self) -> usize {
-        let flags = [self.draining.is_some(), self.reachable.is_some(), self.lapsed, self.gone];
+        let flags = [self.draining.is_some(), self.reachable.is_some(), self.lapsed, self.gone, self.silent];
         let flags = flags.into_iter().filter(|f| *f).count();
         self.lost.len() + self.stalled.len() + self.started.len() + self.ended.len() + self.voided.len() + self.missing.len() + flags
     }
@@ -53,6 +55,7 @@
         self.checkpoints.extend(other.checkpoints);
         self.lapsed |= other.lapsed;
         self.gone |= other.gone;
+        self.silent |= other.silent;
     }
 
     /// As it travels.
@@ -72,6 +75,7 @@
             checkpoints: self.checkpoints.into_iter().map(|(attempt, checkpoint)| AttemptCheckpoint { attempt, checkpoint }).collect(),
             lapsed: self.lapsed,
             gone: self.gone,
+            silent: self.silent,
         }
     }
 }
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -609,9 +609,15 @@
         let answer = reply.answer().filter(|a| a.worker == worker && h.address == address);
         let Some(a) = answer else {
             self.counters.hold_errors += 1;
-            if h.error(self.now, &self.settings, &mut self.rng) {
+            let lost = h.error(self.now, &self.settings, &mut self.rng);
+            let silent = h.take_silence();
+            if lost || silent {
                 let boot = h.boot().to_owned();
-                self.facts.line(worker, &boot).reachable = Some(false);
+                let line = self.facts.line(worker, &boot);
+                line.silent |= silent;
+                if lost {
+                    line.reachable = Some(false);
+                }
             }
             return;
         };
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -58,6 +58,7 @@
     ends: EndSequence,
     watch: AttemptWatch,
     lapse_told: bool,
+    silence_told: bool,
     /// The next list is wanted at once.
     look_soon: bool,
     /// Until when the worker isn't asked again, since it would list the same ends at once.
@@ -110,6 +111,7 @@
             ends: EndSequence::default(),
             watch: AttemptWatch::default(),
             lapse_told: false,
+            silence_told: false,
             look_soon: false,
             rests_until: 0,
         }
@@ -283,6 +285,13 @@
         over
     }
 
+    /// A look at the worker got no answer while it was out of reach already: true once for each time that this comes about.
+    pub fn take_silence(&mut self) -> bool {
+        let silent = self.mine && self.leased && !self.reachable && self.errors > 0 && !self.silence_told;
+        self.silence_told |= silent;
+        silent
+    }
+
     /// The attempts that were proven to run here, and their last checkpoints; they are forgotten.
     pub fn take_proven(&mut self) -> (Vec<AttemptId>, Vec<AttemptCheckpoint>) {
         let checkpoints = self.watch.checkpoints();
@@ -352,6 +361,7 @@
         self.errors = 0;
         self.silent_orders = 0;
         self.lapse_told = false;
+        self.silence_told = false;
         let mut asked_seen = open.order.seen;
         if a.boot_id != self.boot && open.step < self.boot_step {
             // This hold left before the newest boot was known: an answer of another boot is an older one's.
--- a/crates/gateway-core/tests/lease_test.rs
+++ b/crates/gateway-core/tests/lease_test.rs
@@ -166,3 +166,15 @@
     fx.extend(pass(&mut t, 100));
     assert!(facts(&fx).iter().all(|f| f.reachable.is_none()));
 }
+
+#[test]
+fn a_worker_that_answers_neither_orders_nor_looks_is_told_as_silent_once() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[], &[]);
+    t.give(id(1));
+    let mut fx = t.started(id(1), Reply::Unknown);
+    fx.extend(pass(&mut t, 100));
+    assert!(facts(&fx).iter().all(|f| !f.silent), "one order alone may be late");
+    let fx = silent(&mut t, 2_000);
+    assert_eq!(facts(&fx).iter().filter(|f| f.silent).count(), 1);
+}
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -31,6 +31,10 @@
     GangSettled { step: StepId },
     /// A member of a gang ended well, which stands for all; or its run failed.
     GangRunOver { step: StepId, well: bool },
+    /// An orphan of a task that waits to start again ended well, which is the task's end.
+    CopyDone { task: TaskId },
+    /// An orphan of a task failed.
+    CopyFailed { task: TaskId },
     /// Where a task goes on from when it starts again.
     CheckpointSeen { task: TaskId, checkpoint: String },
     /// A worker is known, or told of itself anew.
--- a/crates/scheduler-core/src/explain.rs
+++ b/crates/scheduler-core/src/explain.rs
@@ -61,6 +61,8 @@
                 "are draining"
             } else if !w.reachable || w.gateway.is_none() {
                 "can't be reached"
+            } else if self.has_orphans(*i) {
+                "still run an attempt that isn't counted on"
             } else if !w.health.may_try(self.tables.log_time, live) {
                 "are shunned for what they did with other tasks"
             } else if !room.fits(w.room().sub(w.used)) {
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -50,6 +50,8 @@
                     s.gang_failures += u32::from(!*well);
                 }
             }
+            Event::CopyDone { task } => self.copy_done(*task),
+            Event::CopyFailed { task } => self.copy_failed(*task),
             Event::CheckpointSeen { task, checkpoint } => self.checkpoint_seen(*task, checkpoint),
             Event::WorkerKnown { worker, told } => self.worker_known(*worker, told),
             Event::WorkerReborn { worker, boot_id } => {
@@ -137,6 +139,27 @@
         self.tables.jobs.get_mut(&id.job)?.step_mut(id)
     }
 
+    /// A task that waits to start again is done.
+    fn copy_done(&mut self, task: TaskId) {
+        let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
+        let Some(s) = j.step_mut(task.step_id()) else { return };
+        let Some(t) = s.tasks.get_mut(task.index as usize).filter(|t| t.state == TaskState::Waiting) else { return };
+        t.state = TaskState::Succeeded;
+        s.again.remove(&task.index);
+        s.succeeded += 1;
+        j.count(TaskState::Waiting, TaskState::Succeeded);
+        self.refresh_ready(task.step_id());
+    }
+
+    /// One more failure of a task.
+    fn copy_failed(&mut self, task: TaskId) {
+        let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
+        j.summary.failures += 1;
+        if let Some(t) = j.step_mut(task.step_id()).and_then(|s| s.tasks.get_mut(task.index as usize)) {
+            t.failures += 1;
+        }
+    }
+
     /// A checkpoint serves one task, or all members of a gang.
     fn checkpoint_seen(&mut self, task: TaskId, checkpoint: &str) {
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
@@ -341,15 +364,20 @@
         if let Some(set) = self.on_worker.get_mut(&a.worker) {
             set.remove(&task);
         }
+        // Another copy's end stands for this attempt's, which says nothing of its worker and its duration.
+        let superseded = self.tables.orphans.contains(&(a.worker, AttemptId { task, number: a.number }));
         let outcome = match how {
+            _ if superseded => TaskOutcome::Stopped,
             TaskEvent::Succeeded => TaskOutcome::Finished,
             TaskEvent::Failed | TaskEvent::GivenUp => TaskOutcome::Failed,
             _ if a.started.is_none() => TaskOutcome::NeverStarted,
             _ => TaskOutcome::Stopped,
         };
         let _ = self.bands.task_ended(at, a.worker, a.key, outcome);
-        self.judge_worker(&a, how, at);
-        if how == TaskEvent::Succeeded {
+        if !superseded {
+            self.judge_worker(&a, how, at);
+        }
+        if how == TaskEvent::Succeeded && !superseded {
             self.judge_pace(task, &a, at);
         }
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -234,7 +234,7 @@
         let w = s.tables.workers.get(&worker)?;
         let st = &spec.steps[task.step as usize];
         let spread = st.most_per_worker == 0 || s.tasks_of_step_on(worker, task.step_id()) < st.most_per_worker;
-        (spread && s.worker_allows(w, &spec.queue, &spec.service, &st.kinds, &st.labels)).then(|| room_of(st))
+        (spread && !s.has_orphans(worker) && s.worker_allows(w, &spec.queue, &spec.service, &st.kinds, &st.labels)).then(|| room_of(st))
     }
 
     /// Ends a job: nothing of it starts any more, what is out is stopped.
@@ -254,7 +254,7 @@
     }
 
     /// Looks whether a job is over.
-    fn settle_job(&mut self, job: JobNumber) {
+    pub(crate) fn settle_job(&mut self, job: JobNumber) {
         let Some(j) = self.state.tables.jobs.get(&job) else { return };
         if j.spec.is_none() || j.live() > 0 {
             return;
@@ -274,6 +274,18 @@
         self.stop_all(step.tasks(), StopReason::GangBroken);
     }
 
+    /// A task ended well: with the last one its step is done.
+    pub(crate) fn after_success(&mut self, task: TaskId) {
+        let step = task.step_id();
+        let Some(j) = self.state.tables.jobs.get(&task.job).filter(|j| j.ending.is_none()) else { return };
+        let tasks = j.spec.as_deref().and_then(|s| s.steps.get(usize::from(task.step))).map(|s| s.tasks);
+        let Some(s) = j.step(step).filter(|s| Some(s.succeeded) == tasks) else { return };
+        if s.gang_by.is_some() {
+            self.emit(Event::GangSettled { step });
+        }
+        self.emit(Event::StepDone { step });
+    }
+
     /// An attempt is over: the one place where that is acted on.
     pub(crate) fn attempt_over(&mut self, task: TaskId, how: TaskEvent) {
         let at = self.now();
@@ -282,7 +294,7 @@
         let Some(spec) = j.spec.as_deref() else { return };
         let Some(s) = j.step(id) else { return };
         let st = &spec.steps[task.step as usize];
-        let (gang, tasks, was_ending) = (st.gang, st.tasks, j.ending.is_some());
+        let (gang, was_ending) = (st.gang, j.ending.is_some());
         let together = gang && st.ends_together;
         let lasting = spec.run_until_cancelled && spec.allowed_failures.is_none();
         let how = match how {
@@ -293,21 +305,18 @@
             other => other,
         };
         let failures = if together { s.gang_failures } else { s.tasks.get(task.index as usize).map_or(0, |t| t.failures) };
-        let given_up = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures.unwrap_or(0);
+        let copies = st.copies && !gang;
+        let failed_out = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures.unwrap_or(0);
+        // A copy may have failed the last time that was allowed while this attempt ran.
+        let given_up = failed_out || copies && how != TaskEvent::Succeeded && self.has_failed_out(task);
         let how = if given_up { TaskEvent::GivenUp } else { how };
         if together && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed) && !s.gang_done {
             self.emit(Event::GangRunOver { step: id, well: how == TaskEvent::Succeeded });
         }
         self.emit(Event::AttemptOver { task, how, at });
-        let Some(s) = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(id)) else { return };
-        let (succeeded, gang_out) = (s.succeeded, s.gang_by.is_some());
+        let gang_out = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(id)).is_some_and(|s| s.gang_by.is_some());
         if how == TaskEvent::Succeeded {
-            if succeeded == tasks && !was_ending {
-                if gang_out {
-                    self.emit(Event::GangSettled { step: id });
-                }
-                self.emit(Event::StepDone { step: id });
-            }
+            self.after_success(task);
         } else if given_up && !was_ending {
             self.end_job(task.job, JobState::Failed);
         } else if gang && !was_ending {
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -42,7 +42,7 @@
     }
 
     /// The tasks out at a worker.
-    fn tasks_on(&self, worker: WorkerIndex) -> Vec<TaskId> {
+    pub(crate) fn tasks_on(&self, worker: WorkerIndex) -> Vec<TaskId> {
         self.state.on_worker.get(&worker).into_iter().flatten().copied().collect()
     }
 
@@ -87,19 +87,23 @@
                 // A void by the boot that told of its start means that it doesn't run there any more.
                 let how = if x.started.is_some() { TaskEvent::Lost } else { TaskEvent::Voided };
                 self.attempt_over(a.task, how);
-            } else if self.state.tables.orphans.contains(&(i, a)) {
-                self.emit(Event::OrphanGone { worker: i, attempt: a });
+            } else {
+                self.orphan_gone(i, a);
             }
         }
         for &a in &f.missing {
             if self.live(i, a).is_some_and(|x| x.started.as_ref().is_some_and(|s| s.1 == f.boot_id)) {
                 self.stop(a.task, StopReason::Missing);
+            } else {
+                self.orphan_gone(i, a);
             }
         }
         for &a in &f.lost {
             if let Some(x) = self.live(i, a) {
                 let how = if x.started.is_some() { TaskEvent::Lost } else { TaskEvent::Voided };
                 self.attempt_over(a.task, how);
+            } else {
+                self.orphan_gone(i, a);
             }
         }
         for &a in &f.stalled {
@@ -125,6 +129,9 @@
                 self.try_another_gateway(i);
             }
         }
+        if f.silent && leased {
+            self.detach_copies(i);
+        }
         if f.lapsed {
             self.lease_lapsed(i);
         }
@@ -183,9 +190,18 @@
                 self.emit(Event::AttemptStarted { task: e.attempt.task, boot_id, at });
             }
             self.attempt_over(e.attempt.task, how);
-        } else if self.state.tables.orphans.contains(&(worker, e.attempt)) {
-            self.emit(Event::OrphanGone { worker, attempt: e.attempt });
+        } else if self.orphan_gone(worker, e.attempt) {
+            self.copy_ended(e.attempt.task, e.outcome);
+        }
+    }
+
+    /// Nothing of an orphan runs any more; false for what isn't one.
+    fn orphan_gone(&mut self, worker: WorkerIndex, attempt: AttemptId) -> bool {
+        let known = self.state.tables.orphans.contains(&(worker, attempt));
+        if known {
+            self.emit(Event::OrphanGone { worker, attempt });
         }
+        known
     }
 
     /// Looks whether a gang runs whole.
@@ -390,6 +406,12 @@
         self.on_worker.get(&worker).map_or(0, |set| set.range(step.tasks()).count() as u32)
     }
 
+    /// Whether something runs on a worker that the log doesn't count on: it gets nothing new before that has ended.
+    pub fn has_orphans(&self, worker: WorkerIndex) -> bool {
+        let from = (worker, *AttemptId::of_job(0).start());
+        self.tables.orphans.range(from..).next().is_some_and(|o| o.0 == worker)
+    }
+
     /// Whether a worker may get a task of that queue, service and kinds now, its room, trust and caps aside.
     pub fn worker_allows(&self, w: &WorkerRecord, queue: &str, service: &str, kinds: &[Name], labels: &[Name]) -> bool {
         let held = w.gateway.as_ref().is_some_and(|g| self.tables.gateways.get(g).is_some_and(|g| g.alive));
--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -16,6 +16,7 @@
 mod job;
 mod journal;
 mod ledger;
+mod ledger_copies;
 mod ledger_jobs;
 mod ledger_workers;
 mod peer_frame;
--- a/crates/scheduler-core/src/start_planner.rs
+++ b/crates/scheduler-core/src/start_planner.rs
@@ -218,7 +218,7 @@
     fn allowed(&self, g: &ReadyGroup) -> BTreeMap<WorkerIndex, &'a WorkerRecord> {
         let s = self.state;
         let may = |w: &WorkerRecord| s.worker_allows(w, &g.queue, &g.service, &g.kinds, &g.labels);
-        s.tables.workers.iter().filter(|(_, w)| may(w)).map(|(i, w)| (*i, w)).collect()
+        s.tables.workers.iter().filter(|(i, w)| may(w) && !s.has_orphans(**i)).map(|(i, w)| (*i, w)).collect()
     }
 
     /// Workers for a whole gang: within one rack where that is faster and possible.
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -59,7 +59,10 @@
                         starts.insert(*task);
                     }
                 }
-                Event::AttemptStarted { task, .. } | Event::AttemptOver { task, .. } => {
+                Event::AttemptStarted { task, .. }
+                | Event::AttemptOver { task, .. }
+                | Event::CopyDone { task }
+                | Event::CopyFailed { task } => {
                     jobs.insert(task.job);
                 }
                 // What follows is for orders alone.
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -1,97 +1,7 @@
-use scheduler_core::prelude::*;
-
-/// A ledger with one gateway and so many workers of 8 cores and 16 GB in one zone.
-struct Bench {
-    ledger: Ledger,
-    now: Millis,
-}
-
-impl Bench {
-    fn new(workers: usize) -> Self {
-        let mut b = Bench { ledger: Ledger::new(ClusterState::new(ClusterRules::new(1_000)).unwrap()), now: 1_000 };
-        b.one(Command::GatewayAttached { name: "g".into(), instance: 7, zone: "z1".into(), http_address: "a".into() });
-        for i in 0..workers {
-            b.one(Command::Register(b.told(&format!("w{i}"), "b1")));
-        }
-        b
-    }
-
-    fn told(&self, name: &str, boot: &str) -> RegisterWorker {
-        let (name, boot_id) = (name.to_owned(), boot.to_owned());
-        let address = "10.0.0.1:80".to_owned();
-        RegisterWorker {
-            name,
-            address,
-            boot_id,
-            service: "s".into(),
-            kind: "new".into(),
-            rack: "r".into(),
-            zone: "z1".into(),
-            cpu_millis: 8_000,
-            memory_mb: 16_000,
-            ..RegisterWorker::default()
-        }
-    }
-
-    fn one(&mut self, c: Command) -> Answer {
-        self.now += 10;
-        self.ledger.apply(1, self.now, CommandBatch { proposer: 1, number: 1, commands: vec![c] }).remove(0)
-    }
-
-    fn submit(&mut self, spec: JobSpec) -> JobNumber {
-        match self.one(Command::Submit { spec, due_in_ms: 0 }) {
-            Some(Ok(AnswerBody::SubmitJob(a))) => a.job,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    /// One round of placement; gives what started.
-    fn plan(&mut self) -> Vec<(TaskId, WorkerIndex)> {
-        let PlannedRound { starts: plans, .. } = StartPlanner::new(&self.ledger.state, self.now, 256, &RackWaits::default()).plan();
-        let mut all = Vec::new();
-        for (starts, gang) in plans {
-            all.extend(starts.clone());
-            self.one(Command::Start { starts, gang });
-        }
-        all
-    }
+mod ledger;
 
-    fn attempt(&self, t: TaskId) -> Option<&Attempt> {
-        self.ledger.state.tables.attempts.get(&t)
-    }
-
-    fn id(&self, t: TaskId) -> AttemptId {
-        AttemptId { task: t, number: self.attempt(t).unwrap().number }
-    }
-
-    fn facts(&mut self, worker: &str, boot: &str, f: impl FnOnce(&mut WorkerFacts)) {
-        let mut w = WorkerFacts { worker: worker.into(), boot_id: boot.into(), ..WorkerFacts::default() };
-        f(&mut w);
-        self.one(Command::Facts(w));
-    }
-
-    fn ended(&mut self, t: TaskId, outcome: Outcome) {
-        let (a, w) = (self.id(t), self.ledger.state.worker_name(self.attempt(t).unwrap().worker));
-        self.facts(&w, "b1", |f| f.ended.push(EndedAttempt { ran_ms: 5, ..EndedAttempt::new(a, outcome) }));
-    }
-
-    fn started(&mut self, t: TaskId) {
-        let (a, w) = (self.id(t), self.ledger.state.worker_name(self.attempt(t).unwrap().worker));
-        self.facts(&w, "b1", |f| f.started.push(a));
-    }
-
-    fn state(&self, name: &str) -> JobState {
-        self.ledger.state.job(name).unwrap().summary.state
-    }
-
-    fn used(&self) -> u64 {
-        self.ledger.state.tables.workers.values().map(|w| w.used.cpu_millis).sum()
-    }
-}
-
-fn job(name: &str, tasks: u32) -> JobSpec {
-    JobSpec::single(name, "q", "s", tasks, 1_000, 1_000)
-}
+use ledger::*;
+use scheduler_core::prelude::*;
 
 fn gang(name: &str, tasks: u32) -> JobSpec {
     let mut j = job(name, tasks);
@@ -514,11 +424,6 @@
 }
 
 /// A job of one step, changed by the caller.
-fn job_with(name: &str, tasks: u32, change: impl FnOnce(&mut JobSpec)) -> JobSpec {
-    let mut spec = JobSpec::single(name, "q", "s", tasks, 1_000, 100);
-    change(&mut spec);
-    spec
-}
 
 #[test]
 fn occurrences_of_a_repeated_job_fall_due_in_turn_and_may_overlap() {
