--- a/crates/gateway/src/gateway_ports.rs
+++ b/crates/gateway/src/gateway_ports.rs
@@ -21,6 +21,8 @@
     pub ready_silence_ms: Millis,
     /// How long a read of a job waits for its end.
     pub read_wait: Duration,
+    /// How long a request waits while an elected scheduler is looked for.
+    pub patience: Duration,
 }
 
 impl GatewayPorts {
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -86,6 +86,7 @@
             stopping: Arc::default(),
             ready_silence_ms: READY_SILENCES * s.gateway_silence_ms,
             read_wait: Duration::from_millis(s.read_wait_ms),
+            patience: Duration::from_millis(core_settings.patience()),
         });
         tracing::info!(node = s.node_name, address = %s.listen_http, instance, "gateway runs");
         if let Some(address) = s.listen_ready {
--- a/crates/gateway/src/live_view.rs
+++ b/crates/gateway/src/live_view.rs
@@ -26,17 +26,23 @@
 
     /// Waits until a job that the view shows as not over is over, or for `most`. Ends at once for any other job.
     pub async fn job_over(&self, name: &str, most: Duration) {
+        self.wait(most, |view| view.jobs.named(name).is_none_or(|j| j.state.is_final())).await;
+    }
+
+    /// Waits until a view is as wanted, or for `most`; gives the view as it is then.
+    pub async fn wait(&self, most: Duration, wanted: impl Fn(&GatewayView) -> bool) -> Arc<GatewayView> {
         // Whoever waits too long just goes on with the view as it is.
-        let _ = timeout(most, self.until_over(name)).await;
+        let _ = timeout(most, self.until(wanted)).await;
+        self.load()
     }
 
-    async fn until_over(&self, name: &str) {
+    async fn until(&self, wanted: impl Fn(&GatewayView) -> bool) {
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             // Listens before it looks, so that no change falls in between.
             changed.as_mut().enable();
-            if self.load().jobs.named(name).is_none_or(|j| j.state.is_final()) {
+            if wanted(&self.load()) {
                 return;
             }
             changed.await;
--- a/crates/gateway/tests/live_view_test.rs
+++ b/crates/gateway/tests/live_view_test.rs
@@ -55,3 +55,20 @@
     live.job_over("another", MOST).await;
     assert!(began.elapsed().is_zero());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_for_the_first_view_and_no_longer_than_allowed() {
+    let live = LiveView::new(Arc::new(GatewayView::default()));
+    let began = tokio::time::Instant::now();
+    let known = |v: &GatewayView| v.jobs.named("j").is_some();
+    let news = async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        live.store(view(JobState::Running));
+    };
+    let (seen, ()) = tokio::join!(live.wait(MOST, known), news);
+    assert!(known(&seen));
+    assert_eq!(began.elapsed(), Duration::from_millis(30));
+    let seen = live.wait(MOST, |_| false).await;
+    assert!(known(&seen), "it goes on with the view as it is");
+    assert_eq!(began.elapsed(), Duration::from_millis(130));
+}
