Split the gateway's and the scheduler's core by what they deal with

Moves only, but for lapsed leases, which are found without copying the names of all workers at each tick, and the type of a batch in the log.

--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -12,28 +12,28 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct GatewayCore {
-    settings: GatewaySettings,
-    name: Name,
-    zone: Name,
-    http_address: String,
-    instance: u64,
-    now: Millis,
-    steps: u64,
-    rng: ChaCha8Rng,
-    session: Session,
-    asks: AskBook,
-    share: WorkerShare,
-    starts: StartBook,
-    stops: StopBook,
-    gangs: GangWatch,
-    facts: FactBook,
-    view: Arc<GatewayView>,
-    view_changed: bool,
-    whole: Option<WholeView>,
-    caught_up: bool,
-    tell_again: bool,
-    want_configuration: bool,
-    counters: GatewayCounters,
+    pub(crate) settings: GatewaySettings,
+    pub(crate) name: Name,
+    pub(crate) zone: Name,
+    pub(crate) http_address: String,
+    pub(crate) instance: u64,
+    pub(crate) now: Millis,
+    pub(crate) steps: u64,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) session: Session,
+    pub(crate) asks: AskBook,
+    pub(crate) share: WorkerShare,
+    pub(crate) starts: StartBook,
+    pub(crate) stops: StopBook,
+    pub(crate) gangs: GangWatch,
+    pub(crate) facts: FactBook,
+    pub(crate) view: Arc<GatewayView>,
+    pub(crate) view_changed: bool,
+    pub(crate) whole: Option<WholeView>,
+    pub(crate) caught_up: bool,
+    pub(crate) tell_again: bool,
+    pub(crate) want_configuration: bool,
+    pub(crate) counters: GatewayCounters,
 }
 
 impl GatewayCore {
@@ -140,7 +140,7 @@
     }
 
     /// The first frame of a channel.
-    fn attach(&self) -> GatewayFrame {
+    pub(crate) fn attach(&self) -> GatewayFrame {
         GatewayFrame::Attach {
             wire_version: WIRE_VERSION,
             cluster: self.settings.cluster.clone(),
@@ -154,7 +154,7 @@
     }
 
     /// Drops a silent channel and ends the asks whose time is over.
-    fn watch(&mut self, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn watch(&mut self, fx: &mut Vec<GatewayEffect>) {
         if self.session.watch(self.now, &self.settings, &mut self.rng, fx) {
             self.counters.channels_silent += 1;
             self.leader_lost();
@@ -165,7 +165,7 @@
     }
 
     /// The final answer of an ask that is given up.
-    fn give_up(&mut self, p: PendingAsk, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn give_up(&mut self, p: PendingAsk, fx: &mut Vec<GatewayEffect>) {
         let first = self.settings.dial_backoff_most();
         let retry_after_ms = first + backoff(first, first, 0, &mut self.rng);
         // Ended by its caller's time with a leader at hand, or after it left: nothing is known of it.
@@ -180,7 +180,7 @@
     }
 
     /// What waits for its time.
-    fn tick(&mut self, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn tick(&mut self, fx: &mut Vec<GatewayEffect>) {
         for o in self.gangs.over(self.now) {
             self.counters.gangs_broken += 1;
             self.stop(o);
@@ -192,7 +192,7 @@
     }
 
     /// Sends the holds that are due, of one worker or of all.
-    fn send_holds(&mut self, worker: Option<&str>, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn send_holds(&mut self, worker: Option<&str>, fx: &mut Vec<GatewayEffect>) {
         if self.facts.len() >= self.settings.fact_bound() {
             return;
         }
@@ -211,49 +211,8 @@
         };
     }
 
-    /// Tells of workers that are silent and whose lease is over: what ran there is lost.
-    fn watch_leases(&mut self) {
-        if self.settings.lease_most_ms == 0 {
-            return;
-        }
-        let silent: Vec<Name> = self.share.all_mine().filter(|(_, h)| h.leased).map(|(n, _)| n.clone()).collect();
-        for worker in silent {
-            if self.share.mine_mut(&worker).is_some_and(|h| h.take_lapse(self.now)) {
-                self.counters.leases_lapsed += 1;
-                self.lose_attempts(&worker, false);
-            }
-        }
-    }
-
-    /// Tells that nothing of a worker's attempts runs any more: its lease has lapsed, or its life is over.
-    fn lose_attempts(&mut self, worker: &str, gone: bool) {
-        let Some(h) = self.share.get_mut(worker) else { return };
-        let boot = h.boot().to_owned();
-        let (mut lost, checkpoints) = h.take_proven();
-        lost.extend(self.starts.sent_to(worker));
-        lost.extend(self.stops.open_at(worker));
-        for a in &lost {
-            self.starts.proof(*a, OrderEvent::Void);
-            self.stops.answered(*a);
-            self.gangs.gone(*a);
-        }
-        let line = self.facts.line(worker, &boot);
-        line.lost.extend(lost);
-        line.checkpoints.extend(checkpoints.into_iter().map(|c| (c.attempt, c.checkpoint)));
-        line.lapsed |= !gone;
-        line.gone |= gone;
-    }
-
-    /// Another life of a worker answered in its place.
-    fn other_life(&mut self, worker: &str) {
-        if self.share.mine(worker).is_some_and(|h| h.leased) {
-            self.counters.lives_over += 1;
-            self.lose_attempts(worker, true);
-        }
-    }
-
     /// Sends a pulse when one is due.
-    fn pulse(&mut self, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn pulse(&mut self, fx: &mut Vec<GatewayEffect>) {
         let Some((channel, stamp)) = self.session.pulse(self.now, &self.settings) else { return };
         let frame = GatewayFrame::Pulse { stamp, view: self.view.number, configuration: self.view.configuration.version };
         fx.push(GatewayEffect::Send { channel, frame });
@@ -263,7 +222,7 @@
     }
 
     /// Stops, then starts: what is to be stopped doesn't leave any more.
-    fn send_orders(&mut self, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn send_orders(&mut self, fx: &mut Vec<GatewayEffect>) {
         let share = &self.share;
         self.counters.stops_sent +=
             self.stops.send(self.now, self.steps, self.session.term(), |w| share.mine(w).map(|h| h.address.clone()), fx);
@@ -278,7 +237,7 @@
     }
 
     /// Tells facts once the gateway has caught up with the log: first those that an earlier channel carried, then new ones.
-    fn tell_facts(&mut self, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn tell_facts(&mut self, fx: &mut Vec<GatewayEffect>) {
         let Some(channel) = self.session.attached().filter(|_| self.caught_up) else { return };
         let mut frames = Vec::new();
         if std::mem::take(&mut self.tell_again) {
@@ -290,7 +249,7 @@
     }
 
     /// Tells that an attempt never ran and never will.
-    fn voided(&mut self, worker: &str, a: AttemptId) {
+    pub(crate) fn voided(&mut self, worker: &str, a: AttemptId) {
         // Of a worker that the log has forgotten nothing is wanted.
         if let Some(boot) = self.share.boot(worker) {
             self.facts.line(worker, &boot).voided.insert(a);
@@ -298,7 +257,7 @@
     }
 
     /// No leader any more.
-    fn leader_lost(&mut self) {
+    pub(crate) fn leader_lost(&mut self) {
         self.whole = None;
         self.caught_up = false;
         self.asks.leader_lost(self.now, &self.settings);
@@ -308,13 +267,13 @@
     }
 
     /// The view, to be changed.
-    fn change_view(&mut self) -> &mut GatewayView {
+    pub(crate) fn change_view(&mut self) -> &mut GatewayView {
         self.view_changed = true;
         Arc::make_mut(&mut self.view)
     }
 
     /// Takes an ask.
-    fn ask(&mut self, ask: (u64, Millis, CallBody), fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn ask(&mut self, ask: (u64, Millis, CallBody), fx: &mut Vec<GatewayEffect>) {
         let id = ask.0;
         self.counters.asks += 1;
         match self.asks.take(self.now, &self.settings, ask, &mut self.rng) {
@@ -331,7 +290,7 @@
     }
 
     /// Asks the leader, or gives up.
-    fn forward(&mut self, channel: ChannelId, n: u64, fx: &mut Vec<GatewayEffect>) {
+    pub(crate) fn forward(&mut self, channel: ChannelId, n: u64, fx: &mut Vec<GatewayEffect>) {
         match self.asks.forward(self.now, &self.settings, n) {
             Some((frame, again)) => {
                 self.counters.asks_repeated += u64::from(again);
@@ -344,329 +303,4 @@
             }
         }
     }
-
-    /// A frame of the session's own channel.
-    fn frame(&mut self, channel: ChannelId, frame: SchedulerFrame, fx: &mut Vec<GatewayEffect>) {
-        let attached = self.session.attached().is_some();
-        match frame {
-            SchedulerFrame::Attached { term, log_time_ms, schedulers, .. } => self.attached(channel, term, log_time_ms, &schedulers, fx),
-            SchedulerFrame::NotLeader { leader, schedulers } => {
-                self.session.learn(&schedulers);
-                self.session.not_leader(self.now, &self.settings, leader, &mut self.rng, fx);
-                self.leader_lost();
-                self.session.dial(self.now, fx);
-            }
-            SchedulerFrame::PulseEcho { stamp, log_time_ms } => {
-                if let Some((asked_at, first)) = self.session.echo(self.now, stamp, log_time_ms) {
-                    // The first echo may be ahead of the news since the last channel; by the second they have come.
-                    self.caught_up |= !first;
-                    if self.caught_up && self.view.number > 0 {
-                        self.change_view().whole_at = Some(asked_at);
-                    }
-                }
-            }
-            SchedulerFrame::Answer { request, result } => {
-                if let Some(p) = self.asks.remove(&self.settings, request) {
-                    fx.push(GatewayEffect::Answer { ask: p.ask, result });
-                }
-            }
-            SchedulerFrame::Update(u) if attached => self.update(channel, u, fx),
-            SchedulerFrame::FactsDone { report } if attached => {
-                self.facts_done(report);
-                self.send_holds(None, fx);
-            }
-            SchedulerFrame::Shed(_) if !attached => {
-                self.session.lose(self.now, &self.settings, false, &mut self.rng, fx);
-            }
-            SchedulerFrame::Update(_) | SchedulerFrame::FactsDone { .. } | SchedulerFrame::Shed(_) => {}
-        }
-    }
-
-    /// The elected scheduler took the attach: all that waits for it leaves.
-    fn attached(&mut self, channel: ChannelId, term: u64, log_time_ms: Millis, schedulers: &[String], fx: &mut Vec<GatewayEffect>) {
-        if !self.session.attach_taken(self.now, term, log_time_ms) {
-            return;
-        }
-        self.counters.attaches += 1;
-        self.session.learn(schedulers);
-        let leader = Some(self.session.address().to_owned());
-        self.change_view().leader = leader;
-        self.pulse(fx);
-        self.tell_again = true;
-        for n in self.asks.without_leader() {
-            self.forward(channel, n, fx);
-        }
-    }
-
-    /// Folds an update.
-    fn update(&mut self, channel: ChannelId, mut u: ViewUpdate, fx: &mut Vec<GatewayEffect>) {
-        self.share.fold(self.now, self.steps, &self.settings, &self.name, &u);
-        let whole = WholeView::gather(&mut self.whole, &u);
-        if let Some(w) = &whole {
-            self.share.keep(&w.workers);
-            self.stops.keep(|a, _| w.stops.contains(&a));
-        }
-        if let Some(a) = &u.schedulers {
-            self.session.learn(a);
-        }
-        if let Some(c) = &u.configuration {
-            self.configure(channel, c, fx);
-        }
-        let most = self.settings.settled_bound();
-        for j in u.jobs.iter().filter(|j| j.state.is_final()) {
-            self.starts.settle_job(j.job, most);
-        }
-        for c in u.job_changes.iter().filter(|c| c.state.is_final()) {
-            self.starts.settle_job(c.job, most);
-        }
-        for &j in &u.jobs_forgotten {
-            self.starts.settle_job(j, most);
-        }
-        self.caught_up |= u.upto > 0;
-        self.fold_orders(&mut u);
-        self.change_view().fold(&mut u);
-        self.send_holds(None, fx);
-    }
-
-    /// Takes a stop over: what has not left never leaves, what has is stopped at its worker.
-    fn stop(&mut self, o: StopOrder) {
-        self.gangs.gone(o.attempt);
-        if self.starts.forbid(&o) {
-            self.voided(&o.worker, o.attempt);
-        } else if self.share.mine(&o.worker).is_some() {
-            self.stops.give(self.now, o);
-        }
-    }
-
-    /// Takes over stops, then starts.
-    fn fold_orders(&mut self, u: &mut ViewUpdate) {
-        let share = &self.share;
-        self.stops.keep(|_, w| share.mine(w).is_some());
-        for o in std::mem::take(&mut u.stops) {
-            self.stop(o);
-        }
-        for step in std::mem::take(&mut u.gangs_settled) {
-            self.gangs.settled(step);
-        }
-        for o in std::mem::take(&mut u.starts) {
-            let (worker, a) = (o.worker.clone(), o.attempt);
-            if let Some(by) = o.gang_by_ms {
-                let due = self.session.bound().and_then(|b| b.leave_by(by, self.settings.gang_grace()));
-                self.gangs.note(a, &worker, due.unwrap_or(self.now));
-            }
-            if self.starts.give(o) {
-                self.voided(&worker, a);
-            }
-        }
-    }
-
-    /// Takes a configuration over, or asks for it whole.
-    fn configure(&mut self, channel: ChannelId, c: &ConfigurationUpdate, fx: &mut Vec<GatewayEffect>) {
-        match self.view.configuration.updated(c) {
-            Ok(new) => {
-                self.want_configuration = false;
-                let v = self.change_view();
-                v.ingress = Arc::new(IngressTable::of(&new.tree));
-                v.configuration = new;
-                v.configuration_sure = true;
-            }
-            Err(_) => {
-                self.counters.configurations_unfit += 1;
-                self.want_configuration = true;
-                self.change_view().configuration_sure = false;
-                fx.push(GatewayEffect::Send { channel, frame: GatewayFrame::WantConfiguration });
-            }
-        }
-    }
-
-    /// Facts are in the log.
-    fn facts_done(&mut self, report: u64) {
-        let most = self.settings.settled_bound();
-        for f in self.facts.done(report) {
-            let ended = f.ended.iter().map(|e| e.attempt);
-            f.ended.iter().for_each(|e| self.gangs.gone(e.attempt));
-            for a in f.started.into_iter().chain(f.voided).chain(f.missing).chain(f.lost).chain(ended) {
-                self.starts.settle(a, most);
-            }
-            if let Some(h) = self.share.get_mut(&f.worker) {
-                f.ended.iter().for_each(|e| h.acknowledge(e.attempt));
-            }
-        }
-    }
-
-    /// A start or a stop is over: an answer shows that the worker is there, silence counts against it, and an order that never
-    /// left says nothing.
-    fn order_over<A>(&mut self, worker: &str, reply: &Reply<A>) {
-        let Some(h) = self.share.get_mut(worker) else { return };
-        match reply {
-            Reply::Answer(_) | Reply::OtherLife => h.order_answered(),
-            Reply::Unknown if h.order_error() => {
-                let boot = h.boot().to_owned();
-                self.facts.line(worker, &boot).reachable = Some(false);
-            }
-            Reply::Unknown | Reply::NotSent => {}
-        }
-    }
-
-    /// What came of a start.
-    fn start_answered(&mut self, a: AttemptId, reply: Reply<StartAnswer>) {
-        let (event, boot) = match &reply {
-            Reply::Answer(r) if r.attempt == a && r.result == StartResult::Started => (Some(OrderEvent::Proof), Some(r.boot_id.as_str())),
-            Reply::Answer(r) if r.attempt == a => (Some(OrderEvent::Void), Some(r.boot_id.as_str())),
-            Reply::NotSent => (Some(OrderEvent::NotSent), None),
-            Reply::OtherLife => (Some(OrderEvent::Void), None),
-            Reply::Answer(_) | Reply::Unknown => {
-                self.counters.starts_unknown += 1;
-                (None, None)
-            }
-        };
-        if let Some(worker) = self.starts.worker(a) {
-            self.order_over(&worker, &reply);
-            if let Reply::Answer(r) = &reply {
-                self.clock_shown(&worker, r.clock_ms);
-            }
-            if matches!(reply, Reply::OtherLife) {
-                self.other_life(&worker);
-            }
-        }
-        let Some(worker) = self.starts.answered(a, event) else { return };
-        let Some(known) = self.share.boot(&worker) else { return };
-        if boot.is_some_and(|b| b != known) {
-            // Another boot than the newest known: a hold's list or a stop proves it, once it is clear which came first.
-            return;
-        }
-        let line = self.facts.line(&worker, &known);
-        if event != Some(OrderEvent::Proof) {
-            line.voided.insert(a);
-            return;
-        }
-        line.started.insert(a);
-        if let Some(h) = self.share.get_mut(&worker) {
-            h.started(self.steps, &known, a);
-        }
-    }
-
-    /// What came of a stop.
-    fn stop_answered(&mut self, a: AttemptId, worker: &str, reply: Reply<StopAnswer>) {
-        if let (Reply::Answer(r), Some(sent)) = (&reply, self.stops.sent_step(a))
-            && let Some(h) = self.share.get_mut(worker)
-        {
-            h.answered_as(self.steps, sent, &r.boot_id);
-        }
-        let known = self.share.boot(worker);
-        self.order_over(worker, &reply);
-        if matches!(reply, Reply::OtherLife) {
-            return self.other_life(worker);
-        }
-        if let Reply::Answer(r) = &reply {
-            self.clock_shown(worker, r.clock_ms);
-        }
-        let Some(r) = reply.answer().filter(|r| r.attempt == a && known.as_ref() == Some(&r.boot_id)) else {
-            self.stops.again(self.now, &self.settings, a, &mut self.rng);
-            return;
-        };
-        if r.result == StopResult::Accepted {
-            self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
-            self.stops.accepted(self.now, self.steps, &self.settings, a, &mut self.rng);
-            if let Some(h) = self.share.get_mut(worker) {
-                h.look_soon();
-            }
-            return;
-        }
-        self.stops.answered(a);
-        // Whatever the worker said, this attempt doesn't leave from here any more.
-        self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
-        let line = self.facts.line(worker, &r.boot_id);
-        let event = match r.result {
-            StopResult::Void => {
-                line.voided.insert(a);
-                OrderEvent::Void
-            }
-            StopResult::Stopped => {
-                let e = r.ended.unwrap_or_else(|| EndedAttempt::new(a, Outcome::Stopped));
-                line.ended.insert(a, e);
-                OrderEvent::Proof
-            }
-            // Handled above: only a list tells what came of it.
-            StopResult::Accepted => return,
-            StopResult::Ended => {
-                line.ended.extend(r.ended.map(|e| (a, e)));
-                OrderEvent::Proof
-            }
-        };
-        self.starts.proof(a, event);
-        if let Some(h) = self.share.get_mut(worker) {
-            h.over(a);
-        }
-    }
-
-    /// What came of a hold.
-    fn hold_answered(&mut self, worker: &str, address: &str, reply: Reply<HoldAnswer>, fx: &mut Vec<GatewayEffect>) {
-        if matches!(reply, Reply::OtherLife) {
-            return self.other_life(worker);
-        }
-        let Some(h) = self.share.get_mut(worker) else { return };
-        let answer = reply.answer().filter(|a| a.worker == worker && h.address == address);
-        let Some(a) = answer else {
-            self.counters.hold_errors += 1;
-            let lost = h.error(self.now, &self.settings, &mut self.rng);
-            let silent = h.take_silence();
-            if lost || silent {
-                let boot = h.boot().to_owned();
-                let line = self.facts.line(worker, &boot);
-                line.silent |= silent;
-                if lost {
-                    line.reachable = Some(false);
-                }
-            }
-            return;
-        };
-        let mut line = FactLine::default();
-        let (left_in, leased) = (h.hold_step(), h.leased);
-        if let Some(clock) = a.clock_ms {
-            h.lease.showed(self.now, clock);
-        }
-        if !h.answer(self.steps, &a, &mut line) {
-            self.counters.holds_crossed += 1;
-        } else if leased {
-            self.leased_lists(worker, &a, left_in.unwrap_or(0), &mut line);
-        }
-        self.counters.attempts_missing += line.missing.len() as u64;
-        let ended: Vec<AttemptId> = line.ended.keys().copied().collect();
-        for x in line.started.iter().chain(&ended) {
-            self.starts.proof(*x, OrderEvent::Proof);
-        }
-        if !line.is_empty() {
-            self.facts.line(worker, &a.boot_id).merge(line);
-        }
-        self.send_holds(Some(worker), fx);
-    }
-
-    /// A worker's clock came along with an answer.
-    fn clock_shown(&mut self, worker: &str, clock_ms: Option<Millis>) {
-        if let (Some(clock), Some(h)) = (clock_ms, self.share.get_mut(worker)) {
-            h.lease.showed(self.now, clock);
-        }
-    }
-
-    /// What the lists of a worker with a lease prove beyond what they show: starts that can't be carried out any more, stops
-    /// that are over, attempts that stand still.
-    fn leased_lists(&mut self, worker: &str, a: &HoldAnswer, left_in: u64, line: &mut FactLine) {
-        let running: BTreeSet<AttemptId> = a.running.iter().copied().collect();
-        let ended: BTreeSet<AttemptId> = a.ended.iter().map(|e| e.attempt).collect();
-        let listed = |x: AttemptId| running.contains(&x) || ended.contains(&x);
-        let void = self.starts.void_by_clock(worker, a.clock_ms.unwrap_or(0), listed);
-        self.counters.starts_late += void.len() as u64;
-        line.voided.extend(void);
-        let stopped = self.stops.settle_by_list(worker, left_in, |x| running.contains(&x));
-        line.voided.extend(stopped.into_iter().filter(|x| !listed(*x)));
-        let usual = Expectation { patience: 2 * self.settings.stall_patience(Millis::MAX), estimate_ms: 0 };
-        let starts = &self.starts;
-        if let Some(h) = self.share.get_mut(worker) {
-            let stalled = h.progress(self.now, &a.progress, |x| starts.expected(x).unwrap_or(usual));
-            self.counters.attempts_stalled += stalled.len() as u64;
-            line.stalled.extend(stalled);
-            h.rest(self.now, &self.settings);
-        }
-    }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -15,6 +15,8 @@
 mod fact_line;
 mod gang_watch;
 mod gateway_core;
+mod gateway_core_session;
+mod gateway_core_workers;
 mod gateway_counters;
 mod gateway_effect;
 mod gateway_input;
--- a/crates/gateway-core/src/worker_share.rs
+++ b/crates/gateway-core/src/worker_share.rs
@@ -17,9 +17,10 @@
         self.all.get_mut(worker).filter(|w| w.mine)
     }
 
-    /// The workers of the share.
-    pub fn all_mine(&self) -> impl Iterator<Item = (&Name, &WorkerHold)> {
-        self.all.iter().filter(|(_, w)| w.mine)
+    /// The silent workers of the share whose lease has just lapsed: each once for each time that this comes about.
+    pub fn take_lapses(&mut self, now: Millis) -> Vec<Name> {
+        let lapsed = self.all.iter_mut().filter(|(_, w)| w.mine).filter_map(|(n, w)| w.take_lapse(now).then(|| n.clone()));
+        lapsed.collect()
     }
 
     /// Any worker.
--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod prelude;
 
 mod attempt;
+mod batch_in_log;
 mod call_decision;
 pub mod call_error;
 mod cluster_rules;
@@ -27,6 +28,8 @@
 mod scheduler;
 mod scheduler_input;
 mod scheduler_members;
+mod scheduler_rounds;
+mod scheduler_sessions;
 mod scheduler_settings;
 mod start_planner;
 mod steady_clock;
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -35,6 +35,7 @@
 pub use state_chart::Chart;
 
 pub use crate::attempt::{Attempt, StopReason};
+pub use crate::batch_in_log::BatchInLog;
 pub use crate::call_decision::CallDecision;
 pub use crate::call_error;
 pub use crate::cluster_rules::ClusterRules;
@@ -55,6 +56,7 @@
 pub use crate::scheduler::{Scheduler, SchedulerCounters, Waiter};
 pub use crate::scheduler_input::{ChannelId, OWN_PROCESS, SchedulerEffect, SchedulerInput};
 pub use crate::scheduler_members::PeerMember;
+pub(crate) use crate::scheduler_rounds::BATCH_COMMANDS;
 pub use crate::scheduler_settings::SchedulerSettings;
 pub use crate::start_planner::{PlannedRound, PlannedStarts, StartPlanner};
 pub use crate::steady_clock::SteadyClock;
--- /dev/null
+++ b/crates/scheduler-core/src/scheduler_sessions.rs
@@ -0,0 +1,162 @@
+//! Sessions with gateways: what they say, and the news they get.
+
+use crate::prelude::*;
+
+/// After this part of a gateway's silence its channel is given up, by the gateway as well.
+const STALE_PART: u64 = 2;
+/// A gateway whose channel broke has this part of a silence to attach again.
+const REATTACH_PART: u64 = 4;
+
+impl Scheduler {
+    /// Who leads, as far as this one knows.
+    pub(crate) fn not_leader(&self) -> SchedulerFrame {
+        let leader = self.replica.leader_hint().filter(|l| *l != self.replica.id()).and_then(|l| self.address_of(l));
+        SchedulerFrame::NotLeader { leader, schedulers: self.addresses() }
+    }
+
+    /// The schedulers' addresses.
+    pub(crate) fn addresses(&self) -> Vec<String> {
+        let mut v: Vec<String> = self.replica.membership().members().map(|m| m.1.endpoint.clone()).collect();
+        v.sort_unstable();
+        v.dedup();
+        v
+    }
+
+    pub(crate) fn gateway(&mut self, now: Millis, c: ChannelId, f: GatewayFrame) {
+        if !self.is_serving(now) {
+            let frame = self.not_leader();
+            self.sessions.remove(&c);
+            self.send_gateway(c, frame);
+            return;
+        }
+        if let GatewayFrame::Attach { wire_version, cluster, name, instance, zone, http_address, view, configuration } = f {
+            if wire_version != WIRE_VERSION || cluster != self.settings.cluster {
+                let error = match wire_version != WIRE_VERSION {
+                    true => CallError::UnknownVersion { found: wire_version, wanted: WIRE_VERSION },
+                    false => CallError::NotAllowed { name: cluster, reason: "is another cluster".to_owned() },
+                };
+                self.send_gateway(c, SchedulerFrame::Shed(error));
+                return;
+            }
+            let record = GatewayRecord { instance, zone, http_address, alive: true };
+            self.sessions.retain(|_, s| s.name != name);
+            let session = GatewaySession {
+                name: name.clone(),
+                record: record.clone(),
+                view,
+                ordered: view,
+                scanned: view,
+                configuration,
+                heard_at: now,
+                flushed_at: 0,
+                reports: VecDeque::new(),
+                reported: 0,
+            };
+            self.sessions.insert(c, session);
+            self.heard.insert(name.clone(), (instance, now));
+            let log_time_ms = self.replica.log_time(now);
+            let attached =
+                SchedulerFrame::Attached { node: self.replica.id(), term: self.replica.term(), log_time_ms, schedulers: self.addresses() };
+            self.send_gateway(c, attached);
+            if self.ledger.state.tables.gateways.get(&name) != Some(&record) {
+                let GatewayRecord { instance, zone, http_address, .. } = record;
+                self.propose(Command::GatewayAttached { name, instance, zone, http_address }, None, Millis::MAX);
+            }
+            return;
+        }
+        let log_time_ms = self.replica.log_time(now);
+        // A gateway gives up a channel that was silent for half of this: what comes after was stuck on its way, and an
+        // order among it could undo a newer one that came another way.
+        let stale = |s: &GatewaySession| now.saturating_sub(s.heard_at) > self.settings.gateway_silence_ms / STALE_PART;
+        if self.sessions.get(&c).is_some_and(stale) {
+            self.sessions.remove(&c);
+        }
+        let Some(s) = self.sessions.get_mut(&c) else {
+            let frame = self.not_leader();
+            self.send_gateway(c, frame);
+            return;
+        };
+        s.heard_at = now;
+        let name = s.name.clone();
+        if let Some(h) = self.heard.get_mut(&name) {
+            h.1 = now;
+        }
+        match f {
+            GatewayFrame::Attach { .. } => {}
+            GatewayFrame::Pulse { stamp, .. } => {
+                // It may have been given up while it was silent.
+                let record = s.record.clone();
+                self.send_gateway(c, SchedulerFrame::PulseEcho { stamp, log_time_ms });
+                if self.ledger.state.tables.gateways.get(&name) != Some(&record) {
+                    let GatewayRecord { instance, zone, http_address, .. } = record;
+                    let again = Command::GatewayAttached { name, instance, zone, http_address };
+                    if !self.inbox.iter().any(|i| i.0 == again) {
+                        self.propose(again, None, Millis::MAX);
+                    }
+                }
+            }
+            GatewayFrame::Ask { request, time_budget_ms, body } => self.ask(now, (c, request), now + time_budget_ms, body),
+            GatewayFrame::Facts { report, facts } => {
+                if report <= s.reported {
+                    return;
+                }
+                s.reported = report;
+                // It stands behind all that is in the inbox, so in the batch after those, at the latest in this many.
+                self.inbox.extend(facts.into_iter().map(|f| (Command::Facts(f), None, Millis::MAX)));
+                let batches = self.inbox.len().div_ceil(BATCH_COMMANDS) as u64;
+                if let Some(s) = self.sessions.get_mut(&c) {
+                    s.reports.push_back((self.batch + batches.max(1), report));
+                }
+            }
+            GatewayFrame::WantConfiguration => s.configuration = 0,
+        }
+    }
+
+    /// A gateway's channel is gone: a process that ended won't come back on it, so it has little time left to attach again.
+    pub(crate) fn gateway_down(&mut self, now: Millis, c: ChannelId) {
+        let Some(s) = self.sessions.remove(&c) else { return };
+        let patience = self.settings.gateway_silence_ms / REATTACH_PART;
+        if let Some(h) = self.heard.get_mut(&s.name).filter(|h| h.0 == s.record.instance) {
+            h.1 = h.1.min((now + patience).saturating_sub(self.settings.gateway_silence_ms));
+        }
+    }
+
+    /// News to the gateways.
+    pub(crate) fn flush(&mut self, now: Millis) {
+        let last = self.ledger.journal.last();
+        for (c, s) in &mut self.sessions {
+            let stale = s.view != last || s.configuration != self.ledger.state.configuration.version();
+            if !stale || last == 0 {
+                continue;
+            }
+            let news = self.ledger.journal.since(s.scanned).filter(|_| s.ordered > 0);
+            let wanted = match news {
+                Some(events) => s.wanted_flush(&self.ledger.state, events),
+                None => Flush::Orders,
+            };
+            let due = wanted == Flush::All || now >= s.flushed_at + self.settings.view_flush_ms();
+            if !due && wanted == Flush::Later {
+                s.scanned = last;
+                continue;
+            }
+            // Orders and ends of jobs go at once; other news of jobs gathers until it is due.
+            for u in self.ledger.updates(&s.name, s.record.instance, (s.view, s.ordered), s.configuration, due) {
+                if let Some(c) = &u.configuration {
+                    s.configuration = c.version;
+                }
+                s.view = u.upto.max(s.view);
+                self.counters.updates += 1;
+                self.effects.push(SchedulerEffect::Gateway(*c, Box::new(SchedulerFrame::Update(u))));
+            }
+            (s.ordered, s.scanned) = (last, last);
+            if due {
+                s.flushed_at = now;
+            }
+        }
+    }
+
+    /// Sends a frame to a gateway.
+    pub(crate) fn send_gateway(&mut self, to: ChannelId, frame: SchedulerFrame) {
+        self.effects.push(SchedulerEffect::Gateway(to, Box::new(frame)));
+    }
+}
