--- a/crates/gateway-core/src/gateway_core_session.rs
+++ b/crates/gateway-core/src/gateway_core_session.rs
@@ -6,6 +6,7 @@
     /// A frame of the session's own channel.
     pub(crate) fn frame(&mut self, channel: ChannelId, frame: SchedulerFrame, fx: &mut Vec<GatewayEffect>) {
         let attached = self.session.attached().is_some();
+        self.session.heard(self.now);
         match frame {
             SchedulerFrame::Attached { term, log_time_ms, schedulers, .. } => self.attached(channel, term, log_time_ms, &schedulers, fx),
             SchedulerFrame::NotLeader { leader, schedulers } => {
--- a/crates/gateway-core/src/session.rs
+++ b/crates/gateway-core/src/session.rs
@@ -229,6 +229,13 @@
         Some((channel, self.stamp))
     }
 
+    /// Something came on the session's channel: a long view on a slow link may hold up an echo behind it.
+    pub fn heard(&mut self, now: Millis) {
+        if self.state == SessionState::Attached {
+            self.since = now;
+        }
+    }
+
     /// A pulse came back: when it was sent, if that was on this channel, and whether it was the channel's first.
     pub fn echo(&mut self, now: Millis, stamp: u64, log_time_ms: Millis) -> Option<(Millis, bool)> {
         if self.state != SessionState::Attached || stamp < self.first_stamp {
--- a/crates/gateway-core/tests/session_test.rs
+++ b/crates/gateway-core/tests/session_test.rs
@@ -153,3 +153,20 @@
     let closed = (0..).find(|_| t.tick(5).iter().any(|e| matches!(e, GatewayEffect::CloseChannel { .. }))).unwrap();
     assert_eq!((closed + 1) * 5, GatewaySettings::default().dial_budget());
 }
+
+/// Found by a hunt: a whole view took longer than that on a slow link, the echo behind it came too late, and each new channel
+/// began the same view anew, for ever.
+#[test]
+fn a_channel_on_which_a_long_view_arrives_is_kept_without_an_echo() {
+    let mut t = Stand::new();
+    t.attach();
+    let patience = GatewaySettings::default().echo_silence();
+    let closes = |fx: &[GatewayEffect]| fx.iter().any(|e| matches!(e, GatewayEffect::CloseChannel { .. }));
+    for _ in 0..6 {
+        let mut fx = t.tick(patience / 2);
+        fx.extend(t.update(|u| u.upto = 0));
+        assert!(!closes(&fx));
+    }
+    let silent = t.tick(patience + 1);
+    assert!(closes(&silent), "without anything at all it is dropped");
+}
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -1,7 +1,9 @@
 use crate::prelude::*;
 
 /// Jobs in one part of a whole view.
-const JOBS_A_PART: usize = 4_096;
+const JOBS_A_PART: usize = 128;
+/// Workers in one part of a whole view.
+const WORKERS_A_PART: usize = 32;
 
 impl Ledger {
     /// What changed for a gateway: one update, or the parts of a whole view. `seen` numbers the last event whose news of
@@ -182,23 +184,30 @@
         Some(u)
     }
 
-    /// A whole view in parts: only the last carries a view number, so a channel that breaks between them starts over.
+    /// A whole view in parts: only the last carries a view number, so a channel that breaks between them starts over. The
+    /// configuration comes first, as calls are served by it alone. Each part is small enough for a slow link to carry it well
+    /// within a gateway's patience with its channel.
     fn whole(&self, gateway: &str, instance: u64) -> Vec<ViewUpdate> {
         let s = &self.state;
-        let all: Vec<&Job> = s.tables.jobs.values().collect();
-        let mut parts: Vec<ViewUpdate> = all
-            .chunks(JOBS_A_PART)
-            .map(|c| ViewUpdate { jobs: c.iter().map(|j| j.summary.clone()).collect(), ..ViewUpdate::default() })
-            .collect();
-        let mut last = ViewUpdate { upto: self.journal.last(), ..ViewUpdate::default() };
-        for w in s.tables.workers.keys() {
-            self.add_worker(&mut last, gateway, *w);
+        let zones = s.tables.evacuated.iter().cloned().collect();
+        let first =
+            ViewUpdate { reset: true, configuration: self.configuration_update(0), evacuated_zones: Some(zones), ..ViewUpdate::default() };
+        let mut parts = vec![first];
+        let workers: Vec<WorkerIndex> = s.tables.workers.keys().copied().collect();
+        for some in workers.chunks(WORKERS_A_PART) {
+            let mut part = ViewUpdate::default();
+            for w in some {
+                self.add_worker(&mut part, gateway, *w);
+            }
+            parts.push(part);
+        }
+        let jobs: Vec<&Job> = s.tables.jobs.values().collect();
+        for some in jobs.chunks(JOBS_A_PART) {
+            let jobs = some.iter().map(|j| j.summary.clone()).collect();
+            parts.push(ViewUpdate { jobs, ..ViewUpdate::default() });
         }
-        last.starts = s.tables.attempts.keys().filter_map(|t| self.start_order(gateway, instance, *t)).collect();
-        last.configuration = self.configuration_update(0);
-        last.evacuated_zones = Some(s.tables.evacuated.iter().cloned().collect());
-        parts.push(last);
-        parts[0].reset = true;
+        let starts = s.tables.attempts.keys().filter_map(|t| self.start_order(gateway, instance, *t)).collect();
+        parts.push(ViewUpdate { upto: self.journal.last(), starts, ..ViewUpdate::default() });
         for p in &mut parts {
             p.log_time_ms = s.tables.log_time;
         }
--- a/crates/scheduler-core/tests/flush_test.rs
+++ b/crates/scheduler-core/tests/flush_test.rs
@@ -40,3 +40,19 @@
     assert_eq!(session().wanted_flush(&ledger.state, [&intended].into_iter()), Flush::Orders);
     assert_eq!(other.wanted_flush(&ledger.state, [&intended].into_iter()), Flush::Later);
 }
+
+#[test]
+fn a_whole_view_comes_in_small_parts_with_the_configuration_first() {
+    let mut ledger = Ledger::new(ClusterState::new(ClusterRules::new(1_000)).unwrap());
+    for n in 0..300 {
+        let spec = JobSpec::single(&format!("j{n}"), "q", "s", 1, 100, 100);
+        ledger.apply(1, 10 + n, CommandBatch { proposer: 1, number: n, commands: vec![Command::Submit { spec, due_in_ms: 0 }] });
+    }
+    let parts = ledger.updates("g", 1, (0, 0), 0, true);
+    assert!(parts[0].reset && parts[0].evacuated_zones.is_some() && parts[0].jobs.is_empty());
+    assert!(parts.iter().all(|p| p.jobs.len() <= 128));
+    assert_eq!(parts.iter().map(|p| p.jobs.len()).sum::<usize>(), 300);
+    let numbered: Vec<bool> = parts.iter().map(|p| p.upto > 0).collect();
+    assert_eq!(numbered.iter().filter(|n| **n).count(), 1);
+    assert!(numbered[parts.len() - 1], "only the last part makes the view whole");
+}
