--- a/crates/replicated-log/tests/planted_faults.rs
+++ b/crates/replicated-log/tests/planted_faults.rs
@@ -83,6 +83,30 @@
     assert!(fired > 0);
 }
 
+/// A follower that is cut off from the leader is restarted: says whether two had the lease at once.
+fn restarted_follower(fault: Fault, seed: u64) -> bool {
+    let mut world = World::new(seed, 3);
+    world.run_until(600);
+    let Some(leader) = world.leader() else { return false };
+    let Some(follower) = (1..=3).find(|id| *id != leader) else { return false };
+    world.cut.extend([(follower, leader), (leader, follower)]);
+    if let Some(node) = world.nodes.get_mut(&follower) {
+        node.fault = fault;
+    }
+    world.crash(follower);
+    world.start(follower);
+    world.run_until(world.now + 90);
+    world.checker.fired(Rule::OneLease)
+}
+
+#[test]
+fn a_follower_that_claims_to_have_led_gives_two_leases() {
+    let fired = (0..40).filter(|seed| restarted_follower(Fault::ClaimsLead, *seed)).count();
+    println!("one lease fired for {fired} of 40 seeds");
+    assert!(fired > 0);
+    assert!((0..40).all(|seed| !restarted_follower(Fault::None, seed)));
+}
+
 fn entry(index: Index, term: Term, log_time: Millis, byte: u8) -> LogEntry {
     LogEntry { term, index, log_time, body: LogEntryBody::Command(vec![byte]) }
 }
--- a/crates/replicated-log/tests/support/node.rs
+++ b/crates/replicated-log/tests/support/node.rs
@@ -15,6 +15,8 @@
     ForgetsVotes,
     /// Its clock runs three times too fast.
     FastClock,
+    /// Says after a crash that it led, though another did.
+    ClaimsLead,
 }
 
 /// One machine: replica, disk, clocks and a state machine.
@@ -87,6 +89,11 @@
             state.hard_state = HardState::default();
             self.storage = MemoryLogStorage::new(state);
         }
+        if self.fault == Fault::ClaimsLead {
+            let mut state = self.storage.synced_state().clone();
+            state.hard_state.led = true;
+            self.storage = MemoryLogStorage::new(state);
+        }
     }
 
     /// What its state machine gives as a snapshot.
