Bring leases, late orders and cut gateways into the simulator; it shows the incident

The simulator's workers took no leases, so nothing of the path that the platform uses was ever played by it: neither a lease that lapses nor an order that is carried out after it was given up.

Stand-in workers now can run work on a lease of their own clock (`RunLease`), refuse orders with a lower fence and those for another life, count their ends, and kill all when the lease is over. The simulator carries a share of orders out late without an answer, and lets gateways stand still or cuts them off from all (`leased_chaos`).

--- a/crates/capacity-slopes/src/fleet_driver.rs
+++ b/crates/capacity-slopes/src/fleet_driver.rs
@@ -250,7 +250,7 @@
             match e {
                 WorkerEffect::Answer { token, answer } => self.set(self.now + WAY_MS, DriverEvent::OrderOver { call: token, answer }),
                 WorkerEffect::Register(r) => self.ask(i % self.size.gateways, r.into_body(), Some(i)),
-                WorkerEffect::Silence { .. } | WorkerEffect::Observe(_) => {}
+                WorkerEffect::Silence { .. } | WorkerEffect::Refuse { .. } | WorkerEffect::OtherLife { .. } | WorkerEffect::Observe(_) => {}
             }
         }
         let now = self.now;
--- a/crates/fleet-simulator/src/fault.rs
+++ b/crates/fleet-simulator/src/fault.rs
@@ -39,6 +39,10 @@
     ClockJump { scheduler: usize, by_ms: i64 },
     /// Messages get lost, late and doubled.
     BadNetwork { loss_ratio: f64, late_ms: Millis, for_ms: Millis },
+    /// A share of the orders to workers gets no answer and is carried out late.
+    LateOrders { ratio: f64, for_ms: Millis },
+    /// A gateway is cut off from schedulers and workers alike.
+    GatewayCutFromAll { gateway: usize, for_ms: Millis },
     /// A gateway is cut off from callers and operators, both ways or only its answers.
     GatewayCutFromCallers { gateway: usize, one_way: bool, for_ms: Millis },
     /// Large jobs arrive at once: staged ones with so many times the tasks.
--- a/crates/fleet-simulator/src/main.rs
+++ b/crates/fleet-simulator/src/main.rs
@@ -8,6 +8,7 @@
     count: u64,
     faults: usize,
     threads: u64,
+    leased: bool,
     verbose: bool,
     timing: bool,
 }
@@ -18,6 +19,7 @@
     o.optopt("", "seeds", "how many seeds (1)", "N");
     o.optopt("", "faults", "faults in each run (8); 0 for none", "N");
     o.optopt("", "threads", "threads (1)", "N");
+    o.optflag("", "leased", "workers take leases; orders come late, and gateways stand still or are cut off");
     o.optflag("", "scenarios", "list the named scenarios");
     o.optopt("", "scenario", "run a named scenario instead, or `all`: prints the worst figures over the seeds", "NAME");
     o.optflag("", "timing", "print each seed's events and wall time as it ends");
@@ -53,6 +55,7 @@
         count: number("seeds", 1),
         faults: number("faults", 8) as usize,
         threads: number("threads", 1).max(1),
+        leased: m.opt_present("leased"),
         verbose: m.opt_present("verbose"),
         timing: m.opt_present("timing"),
     };
@@ -111,10 +114,12 @@
 /// Seeds with faults drawn from them: how many broke a rule.
 fn chaos(asked: &Asked) -> usize {
     let settings = |seed| match asked.faults {
+        n if asked.leased => SimulationSettings::leased_chaos(seed, n),
         0 => SimulationSettings::new(seed),
         n => SimulationSettings::chaos(seed, n),
     };
-    let again = |o: &SimulationOutcome| (!o.is_clean()).then(|| format!("{} --faults {}", o.describe(), asked.faults));
+    let leased = if asked.leased { " --leased" } else { "" };
+    let again = |o: &SimulationOutcome| (!o.is_clean()).then(|| format!("{} --faults {}{leased}", o.describe(), asked.faults));
     let all = run_all(asked, settings, again);
     let broken = all.iter().filter(|o| !o.is_clean()).count();
     let left = all.iter().filter(|o| o.attempts_left > 0).count();
--- a/crates/fleet-simulator/src/network.rs
+++ b/crates/fleet-simulator/src/network.rs
@@ -13,6 +13,9 @@
     Callers,
 }
 
+/// How late orders are carried out that get no answer, least and most.
+const LATE_ORDER_MS: (Millis, Millis) = (2_000, 12_000);
+
 /// Which ways are open, and how fast they are.
 #[derive(Debug)]
 pub struct Network {
@@ -24,6 +27,10 @@
     pub late_ratio: f64,
     /// ... up to this.
     pub late_ms: Millis,
+    /// Share of orders to workers that get no answer and are carried out late.
+    pub late_order_ratio: f64,
+    /// How late those are carried out, least and most.
+    pub late_order_ms: (Millis, Millis),
     /// Share of schedulers' messages that are lost.
     pub loss_ratio: f64,
     /// Share of schedulers' messages that arrive twice.
@@ -39,6 +46,8 @@
             delay_ms: (1, 4),
             late_ratio: 0.0,
             late_ms: 0,
+            late_order_ratio: 0.0,
+            late_order_ms: LATE_ORDER_MS,
             loss_ratio: 0.0,
             double_ratio: 0.0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -75,6 +84,12 @@
         }
     }
 
+    /// How late an order to a worker is carried out, where it gets no answer.
+    pub fn order_late_by(&mut self) -> Option<Millis> {
+        let (least, most) = self.late_order_ms;
+        self.chance(self.late_order_ratio).then(|| self.rng.random_range(least..=most))
+    }
+
     /// How many copies of a scheduler's message arrive.
     pub fn copies(&mut self) -> usize {
         if self.loss_ratio > 0.0 && self.rng.random_bool(self.loss_ratio) {
--- a/crates/fleet-simulator/src/occurrence.rs
+++ b/crates/fleet-simulator/src/occurrence.rs
@@ -29,6 +29,8 @@
     NotSent,
     /// Nobody knows.
     Unknown,
+    /// Another life of the worker answered.
+    OtherLife,
 }
 
 /// Something that happens at a time.
--- a/crates/fleet-simulator/src/prelude.rs
+++ b/crates/fleet-simulator/src/prelude.rs
@@ -13,7 +13,7 @@
 pub use rand_chacha::ChaCha8Rng;
 pub use replicated_log::prelude::{LogStorage, MemoryLogStorage, RestoredState};
 pub use scheduler_core::prelude::{HaltReason, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings};
-pub use worker_stand_in::{Behaviour, Reach, WorkerAnswer, WorkerEffect, WorkerIdentity, WorkerInput, WorkerModel};
+pub use worker_stand_in::{Behaviour, Reach, Token, WorkerAnswer, WorkerEffect, WorkerIdentity, WorkerInput, WorkerModel};
 
 pub use crate::agenda::Agenda;
 pub use crate::fault::Fault;
--- a/crates/fleet-simulator/src/simulation.rs
+++ b/crates/fleet-simulator/src/simulation.rs
@@ -77,7 +77,7 @@
         }
         for i in 0..s.settings.workers {
             let seed = s.rng.random();
-            s.workers.push(WorkerNode::new(s.settings.profile, i, seed));
+            s.workers.push(WorkerNode::new(s.settings.profile, i, s.settings.leased, seed));
             s.agenda.set(100 + i as Millis * 3, Occurrence::WorkerTick(i));
         }
         for (at, f) in s.settings.faults.clone() {
@@ -202,6 +202,7 @@
         self.calm = true;
         self.network.heal();
         (self.network.loss_ratio, self.network.late_ratio, self.network.double_ratio) = (0.0, 0.0, 0.0);
+        self.network.late_order_ratio = 0.0;
         self.model(true, CallerInput::Rate(0.0));
         self.model(false, CallerInput::Rate(0.0));
         for i in 0..self.workers.len() {
--- a/crates/fleet-simulator/src/simulation_faults.rs
+++ b/crates/fleet-simulator/src/simulation_faults.rs
@@ -86,6 +86,11 @@
                 let others: Vec<Node> = (0..self.workers.len()).map(Node::Worker).collect();
                 self.cut_off(Node::Gateway(gateway), &others, false, until(for_ms));
             }
+            Fault::LateOrders { ratio, .. } => self.network.late_order_ratio = ratio,
+            Fault::GatewayCutFromAll { gateway, for_ms } => {
+                let others: Vec<Node> = self.all_schedulers().into_iter().chain((0..self.workers.len()).map(Node::Worker)).collect();
+                self.cut_off(Node::Gateway(gateway), &others, false, until(for_ms));
+            }
             Fault::GatewayCutFromCallers { gateway, one_way, for_ms } => {
                 self.cut_off(Node::Gateway(gateway), &[Node::Callers], one_way, until(for_ms))
             }
@@ -115,6 +120,7 @@
             Fault::WorkerErrs { worker, for_ms, .. } if *for_ms > 0 => {
                 (Fault::WorkerErrs { worker: *worker, behaviour: Behaviour::default(), for_ms: 0 }, *for_ms)
             }
+            Fault::LateOrders { for_ms, .. } if *for_ms > 0 => (Fault::LateOrders { ratio: 0.0, for_ms: 0 }, *for_ms),
             Fault::BadNetwork { for_ms, .. } if *for_ms > 0 => (Fault::BadNetwork { loss_ratio: 0.0, late_ms: 0, for_ms: 0 }, *for_ms),
             Fault::Crowd { for_ms, .. } if *for_ms > 0 => (Fault::Crowd { times: 1.0, for_ms: 0 }, *for_ms),
             _ => return,
--- a/crates/fleet-simulator/src/simulation_gateways.rs
+++ b/crates/fleet-simulator/src/simulation_gateways.rs
@@ -26,8 +26,14 @@
     Worker(usize),
 }
 
+/// The longest lease that workers take, where they take any.
+const LEASE_MOST_MS: Millis = 10_000;
 /// How long a start or stop may take before its fate is unknown.
 const ORDER_MS: Millis = 1_500;
+/// The same, where workers take leases and list what runs by their own clock.
+const LEASED_ORDER_MS: Millis = 500;
+/// Nobody waits for the answer of an order with this number.
+const NO_CALL: u64 = 0;
 /// Share of orders over a cut way that arrive once it heals; the others are lost.
 const STUCK_RATIO: f64 = 0.5;
 /// Share of starts whose executor is held up before it writes them out, with a planted error that shows only then.
@@ -46,6 +52,7 @@
             election_timeout_ms: self.settings.election_timeout_ms,
             gateway_silence_ms: 3 * self.settings.election_timeout_ms,
             hold_interval_ms: self.settings.election_timeout_ms,
+            lease_most_ms: if self.settings.leased { LEASE_MOST_MS } else { 0 },
             ..GatewaySettings::default()
         };
         let seeds = (0..self.settings.schedulers).map(crate::simulation_schedulers::scheduler_address).collect();
@@ -150,11 +157,17 @@
             self.agenda.set(self.now + delay, Occurrence::OrderOver { call, reply: WorkerReply::NotSent });
             return;
         }
+        let patience = if self.settings.leased { LEASED_ORDER_MS } else { ORDER_MS };
         let wait = match &order {
-            Order::Hold(h) => h.wait_ms + 2 * ORDER_MS,
-            _ => ORDER_MS,
+            Order::Hold(h) => h.wait_ms + 2 * patience,
+            _ => patience,
         };
         self.agenda.set(self.now + wait, Occurrence::OrderOver { call, reply: WorkerReply::Unknown });
+        if let Some(late) = self.network.order_late_by() {
+            // Carried out long after it was given up, and never answered.
+            self.agenda.set(self.now + late, Occurrence::OrderArrives { call: NO_CALL, worker, order });
+            return;
+        }
         match self.network.cut_until(self.now, Node::Gateway(gateway), Node::Worker(worker)) {
             None => self.agenda.set(self.now + delay, Occurrence::OrderArrives { call, worker, order }),
             // Whoever gives up on an order breaks its channel, so that what is still stuck in it is lost for good.
@@ -185,21 +198,20 @@
             let address = self.workers[worker].identity.address.to_string();
             self.order(gateway, epoch, &address, order.clone(), None, 0);
         }
-        let w = &self.workers[worker].identity;
-        let (name, address) = (w.name.clone(), w.address.to_string());
+        let address = self.workers[worker].identity.address.to_string();
         let input = match (order, reply) {
             (Order::Start(o), WorkerReply::Answer(WorkerAnswer::Start(a))) => {
                 GatewayInput::StartAnswered { attempt: o.attempt, reply: Reply::Answer(a) }
             }
             (Order::Stop(o), WorkerReply::Answer(WorkerAnswer::Stop(a))) => {
-                GatewayInput::StopAnswered { attempt: o.attempt, worker: name, reply: Reply::Answer(a) }
+                GatewayInput::StopAnswered { attempt: o.attempt, worker: o.worker, reply: Reply::Answer(a) }
             }
-            (Order::Hold(_), WorkerReply::Answer(WorkerAnswer::Hold(a))) => {
-                GatewayInput::HoldAnswered { worker: name, address, reply: Reply::Answer(a) }
+            (Order::Hold(o), WorkerReply::Answer(WorkerAnswer::Hold(a))) => {
+                GatewayInput::HoldAnswered { worker: o.worker, address, reply: Reply::Answer(a) }
             }
             (Order::Start(o), r) => GatewayInput::StartAnswered { attempt: o.attempt, reply: no_answer(&r) },
-            (Order::Stop(o), r) => GatewayInput::StopAnswered { attempt: o.attempt, worker: name, reply: no_answer(&r) },
-            (Order::Hold(_), r) => GatewayInput::HoldAnswered { worker: name, address, reply: no_answer(&r) },
+            (Order::Stop(o), r) => GatewayInput::StopAnswered { attempt: o.attempt, worker: o.worker, reply: no_answer(&r) },
+            (Order::Hold(o), r) => GatewayInput::HoldAnswered { worker: o.worker, address, reply: no_answer(&r) },
         };
         self.gateway(gateway, input);
     }
@@ -240,6 +252,7 @@
 fn no_answer<T>(r: &WorkerReply) -> Reply<T> {
     match r {
         WorkerReply::NotSent => Reply::NotSent,
+        WorkerReply::OtherLife => Reply::OtherLife,
         _ => Reply::Unknown,
     }
 }
--- a/crates/fleet-simulator/src/simulation_settings.rs
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -31,6 +31,8 @@
     pub election_timeout_ms: Millis,
     /// A run with more events than this has not ended: something goes round in circles.
     pub most_events: u64,
+    /// Whether workers run work only while their lease lasts.
+    pub leased: bool,
     /// How callers behave; their gateways and seed are set by the run.
     pub callers: CallerSettings,
     /// How operators behave; their gateways and seed are set by the run.
@@ -64,6 +66,7 @@
             outage_ms: 12_000,
             election_timeout_ms: 1_000,
             most_events: MOST_EVENTS,
+            leased: false,
         }
     }
 
@@ -78,8 +81,33 @@
         s.faults = fault_plan(&s, faults, 4_000, s.load_ms - 2_000);
         s
     }
+
+    /// The same with workers that take leases, orders that are carried out late, and gateways that stand still or are cut off
+    /// from all one after another.
+    pub fn leased_chaos(seed: u64, faults: usize) -> Self {
+        let mut s = Self::chaos(seed, faults);
+        s.leased = true;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x1ea5ed);
+        s.faults.push((LATE_ORDERS_FROM_MS, Fault::LateOrders { ratio: rng.random_range(0.0..0.5), for_ms: s.load_ms }));
+        for n in 0..GATEWAYS_TROUBLED {
+            let at = LATE_ORDERS_FROM_MS + (s.load_ms - LATE_ORDERS_FROM_MS) * n / GATEWAYS_TROUBLED + rng.random_range(0..2_000);
+            let (gateway, for_ms) = (rng.random_range(0..s.gateways), rng.random_range(3_500..12_000));
+            s.faults.push((
+                at,
+                match rng.random_bool(0.5) {
+                    true => Fault::GatewayFreeze { gateway, for_ms },
+                    false => Fault::GatewayCutFromAll { gateway, for_ms },
+                },
+            ));
+        }
+        s
+    }
 }
 
+/// When the first orders are carried out late.
+const LATE_ORDERS_FROM_MS: Millis = 4_000;
+/// Gateways that stand still or are cut off in a run with leases.
+const GATEWAYS_TROUBLED: u64 = 6;
 /// Share of starts whose executor is held up, where a run does not say otherwise.
 const HELD_UP_RATIO: f64 = 0.02;
 /// Events of the longest runs, many times over.
--- a/crates/fleet-simulator/src/simulation_workers.rs
+++ b/crates/fleet-simulator/src/simulation_workers.rs
@@ -14,7 +14,7 @@
 
 impl WorkerNode {
     /// The i-th worker of a deployment: every other one is old, three to a rack.
-    pub fn new(profile: Profile, i: usize, seed: u64) -> Self {
+    pub fn new(profile: Profile, i: usize, leased: bool, seed: u64) -> Self {
         let mut identity = WorkerIdentity::example(&format!("w{i}"));
         identity.address = std::net::SocketAddr::from(([10, 0, 2, i as u8 + 1], 80));
         identity.service = profile.streams(1).first().map(|s| s.service.to_owned()).unwrap_or_default();
@@ -22,7 +22,12 @@
         identity.zone = crate::simulation_gateways::zone_of(profile, i);
         identity.rack = format!("r{}", i / 3);
         (identity.cpu_millis, identity.memory_mb) = (8_000, 16_000);
-        let model = WorkerModel::new(identity.registration(&boot(i, 1)), Behaviour::default(), seed);
+        identity.leased = leased;
+        let mut told = identity.registration(&boot(i, 1));
+        if leased {
+            told.name.clone_from(&told.boot_id);
+        }
+        let model = WorkerModel::new(told, Behaviour::default(), seed);
         WorkerNode { identity, model, boots: 1, tick_at: 0 }
     }
 }
@@ -40,14 +45,9 @@
             match e {
                 WorkerEffect::Observe(o) => self.oracle.observe(self.now, o),
                 WorkerEffect::Silence { .. } => {}
-                WorkerEffect::Answer { token, answer } => {
-                    let Some((gateway, ..)) = self.calls.get(&token) else { continue };
-                    let way = (Node::Worker(i), Node::Gateway(*gateway));
-                    let delay = self.network.delay();
-                    if self.network.cut_until(self.now, way.0, way.1).is_none() {
-                        self.agenda.set(self.now + delay, Occurrence::OrderOver { call: token, reply: WorkerReply::Answer(answer) });
-                    }
-                }
+                WorkerEffect::Answer { token, answer } => self.worker_replies(i, token, WorkerReply::Answer(answer)),
+                WorkerEffect::Refuse { token } => self.worker_replies(i, token, WorkerReply::Unknown),
+                WorkerEffect::OtherLife { token } => self.worker_replies(i, token, WorkerReply::OtherLife),
                 WorkerEffect::Register(r) => self.register(i, r),
             }
         }
@@ -61,6 +61,16 @@
         }
     }
 
+    /// A worker's reply to an order sets out for the gateway that sent it.
+    fn worker_replies(&mut self, i: usize, call: Token, reply: WorkerReply) {
+        let Some((gateway, ..)) = self.calls.get(&call) else { return };
+        let way = (Node::Worker(i), Node::Gateway(*gateway));
+        let delay = self.network.delay();
+        if self.network.cut_until(self.now, way.0, way.1).is_none() {
+            self.agenda.set(self.now + delay, Occurrence::OrderOver { call, reply });
+        }
+    }
+
     fn register(&mut self, i: usize, r: RegisterWorker) {
         let gateway = self.rng.random_range(0..self.gateways.len());
         let origin = Origin::Worker(i);
--- a/crates/worker-stand-in/src/lib.rs
+++ b/crates/worker-stand-in/src/lib.rs
@@ -9,6 +9,7 @@
 mod recorder;
 mod registration;
 mod run;
+mod run_lease;
 mod stand_in_error;
 mod stand_in_options;
 mod stand_in_process;
@@ -20,6 +21,7 @@
 mod worker_identity;
 mod worker_input;
 mod worker_model;
+mod worker_model_leased;
 mod worker_server;
 
 pub use prelude::*;
--- a/crates/worker-stand-in/src/prelude.rs
+++ b/crates/worker-stand-in/src/prelude.rs
@@ -10,7 +10,7 @@
 pub use bytes::Bytes;
 pub use cluster_messages::{
     AttemptId, CallError, DrainWorker, EndedAttempt, Fault, HoldAnswer, HoldOrder, Millis, Name, Outcome, Payload, RegisterWorker,
-    StartAnswer, StartOrder, StartResult, StopAnswer, StopOrder, StopResult, WorkerDrained,
+    StartAnswer, StartOrder, StartResult, StopAnswer, StopOrder, StopResult, TaskId, WorkerDrained,
 };
 pub use fleet_oracle::{JobAccepted, JobSpec, JobState, Observation, Oracle, OracleBounds, RecordedObservation, Rule, Verdict};
 pub use futures::FutureExt;
@@ -32,7 +32,8 @@
 pub use crate::reach::{Reach, ReachEvent, reach_chart};
 pub use crate::recorder::Recorder;
 pub(crate) use crate::registration::Registration;
-pub(crate) use crate::run::{Phase, Run};
+pub(crate) use crate::run::{Phase, Run, StartTerms};
+pub use crate::run_lease::RunLease;
 pub use crate::stand_in_error::*;
 pub use crate::stand_in_options::{StandInCommand, StandInOptions};
 pub use crate::stand_in_process::StandInProcess;
--- a/crates/worker-stand-in/src/run.rs
+++ b/crates/worker-stand-in/src/run.rs
@@ -8,6 +8,13 @@
     Running { started: Millis, end_at: Option<Millis>, outcome: Outcome },
 }
 
+/// What a start said of its fence and its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StartTerms {
+    pub(crate) fence: u64,
+    pub(crate) lease_until: Option<Millis>,
+}
+
 /// One run of an attempt.
 pub(crate) struct Run {
     pub(crate) attempt: AttemptId,
@@ -18,6 +25,7 @@
     pub(crate) until_cancelled: bool,
     pub(crate) payload: TaskPayload,
     pub(crate) phase: Phase,
+    pub(crate) terms: StartTerms,
 }
 
 impl Run {
--- a/crates/worker-stand-in/src/worker_effect.rs
+++ b/crates/worker-stand-in/src/worker_effect.rs
@@ -19,6 +19,10 @@
     Answer { token: Token, answer: WorkerAnswer },
     /// The order will never be answered.
     Silence { token: Token },
+    /// The order was not carried out: its fence is below one seen before.
+    Refuse { token: Token },
+    /// The order is for another life of the worker.
+    OtherLife { token: Token },
     /// Send `POST /v1/workers` to a gateway, and tell whether it was answered.
     Register(RegisterWorker),
     /// Seen from outside.
--- a/crates/worker-stand-in/src/worker_host.rs
+++ b/crates/worker-stand-in/src/worker_host.rs
@@ -94,7 +94,9 @@
                         tx.send(answer).ok();
                     }
                 }
-                WorkerEffect::Silence { token } => drop(s.1.remove(&token)),
+                WorkerEffect::Silence { token } | WorkerEffect::Refuse { token } | WorkerEffect::OtherLife { token } => {
+                    drop(s.1.remove(&token))
+                }
                 WorkerEffect::Register(r) => {
                     let me = self.clone();
                     tokio::spawn(async move {
--- a/crates/worker-stand-in/src/worker_identity.rs
+++ b/crates/worker-stand-in/src/worker_identity.rs
@@ -23,6 +23,9 @@
     pub cpu_millis: u64,
     /// Its room.
     pub memory_mb: u64,
+    /// Whether it runs work only while its lease lasts.
+    #[serde(default)]
+    pub leased: bool,
     /// How it errs.
     #[serde(default)]
     pub behaviour: Behaviour,
@@ -41,6 +44,7 @@
             zone: self.zone.clone(),
             cpu_millis: self.cpu_millis,
             memory_mb: self.memory_mb,
+            leased: self.leased,
             ..RegisterWorker::default()
         }
     }
@@ -64,6 +68,7 @@
             zone: "z1".into(),
             cpu_millis: 16_000,
             memory_mb: 64_000,
+            leased: false,
             behaviour: Behaviour::default(),
         }
     }
--- a/crates/worker-stand-in/src/worker_model.rs
+++ b/crates/worker-stand-in/src/worker_model.rs
@@ -17,25 +17,27 @@
 /// assert_eq!(w.reach(), Reach::Serving);
 /// ```
 pub struct WorkerModel {
-    identity: RegisterWorker,
+    pub(crate) identity: RegisterWorker,
     behaviour: Behaviour,
     rng: ChaCha8Rng,
     reach: Reach,
     known: bool,
     frozen_since: Millis,
     away_until: Millis,
-    runs: Vec<Run>,
+    pub(crate) runs: Vec<Run>,
     /// Attempts that never ran and never will.
     void: BTreeSet<AttemptId>,
-    ended: BTreeMap<AttemptId, EndedAttempt>,
+    pub(crate) ended: BTreeMap<AttemptId, EndedAttempt>,
     /// Jobs of the ended attempts.
-    job_names: BTreeMap<AttemptId, Name>,
+    pub(crate) job_names: BTreeMap<AttemptId, Name>,
     remembered: VecDeque<EndedAttempt>,
     change: u64,
     holds: Vec<WaitingHold>,
     /// Orders in front of a frozen worker, each with the time it arrived.
     piled_up: VecDeque<(Millis, WorkerInput)>,
     registration: Registration,
+    /// Its lease, if it runs work only while that lasts.
+    pub(crate) lease: Option<RunLease>,
     effects: Vec<WorkerEffect>,
 }
 
@@ -43,6 +45,7 @@
     /// A worker that has just booted.
     pub fn new(identity: RegisterWorker, behaviour: Behaviour, seed: u64) -> Self {
         WorkerModel {
+            lease: identity.leased.then(RunLease::default),
             identity,
             behaviour,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -90,10 +93,11 @@
         match self.reach {
             Reach::Frozen | Reach::FrozenCutOff => self.behaviour.frozen_until,
             Reach::Away | Reach::AwayCutOff => Some(self.away_until),
-            Reach::CutOff => self.runs.iter().filter_map(Run::due).min(),
+            Reach::CutOff => self.runs.iter().filter_map(Run::due).chain(self.lapse_due()).min(),
             Reach::Serving => {
                 let holds = self.holds.iter().map(|h| h.until);
-                self.runs.iter().filter_map(Run::due).chain(holds).chain([self.registration.due()]).min()
+                let runs = self.runs.iter().filter_map(Run::due);
+                runs.chain(self.lapse_due()).chain(holds).chain([self.registration.due()]).min()
             }
         }
     }
@@ -102,6 +106,7 @@
     pub fn step(&mut self, now: Millis, input: WorkerInput) -> Vec<WorkerEffect> {
         if !self.known {
             self.known = true;
+            self.boot_lease(now);
             self.registration = Registration::restart(now, &mut self.rng);
             let i = &self.identity;
             let (name, kind, service, zone, rack) = (i.name.clone(), i.kind.clone(), i.service.clone(), i.zone.clone(), i.rack.clone());
@@ -134,7 +139,7 @@
         std::mem::take(&mut self.effects)
     }
 
-    fn observe(&mut self, o: Observation) {
+    pub(crate) fn observe(&mut self, o: Observation) {
         self.effects.push(WorkerEffect::Observe(o));
     }
 
@@ -221,6 +226,11 @@
         self.void.clear();
         self.remembered.clear();
         self.change = 1;
+        if self.identity.leased {
+            // Each life of such a worker has a name of its own.
+            self.identity.name.clone_from(&boot_id);
+            self.known = false;
+        }
         self.identity.boot_id = boot_id;
         self.behaviour.frozen_until = None;
         if std::mem::take(&mut self.behaviour.draining) {
@@ -247,7 +257,12 @@
     }
 
     fn take(&mut self, now: Millis, arrived: Millis, order: WorkerInput) {
+        if let Some(refusal) = self.refuses(&order) {
+            return self.effects.push(refusal);
+        }
         match order {
+            WorkerInput::Stop { token, order } if self.lease.is_some() => self.leased_stop(now, token, order.attempt),
+            WorkerInput::Hold { token, order } if self.lease.is_some() => self.leased_hold(now, token, &order),
             WorkerInput::Start { token, order } => self.start(now, arrived, token, order),
             WorkerInput::Stop { token, order } => self.stop(now, token, order.attempt),
             WorkerInput::Hold { token, order } => self.hold(now, token, order),
@@ -256,7 +271,7 @@
     }
 
     /// Answers, unless it is out of reach.
-    fn answer(&mut self, token: Token, answer: WorkerAnswer) {
+    pub(crate) fn answer(&mut self, token: Token, answer: WorkerAnswer) {
         self.effects.push(if self.reach == Reach::Serving {
             WorkerEffect::Answer { token, answer }
         } else {
@@ -264,14 +279,14 @@
         });
     }
 
-    fn start_answer(&mut self, token: Option<Token>, attempt: AttemptId, result: StartResult) {
+    fn start_answer(&mut self, now: Millis, token: Option<Token>, attempt: AttemptId, result: StartResult) {
         let Some(token) = token else { return };
-        let boot_id = self.identity.boot_id.clone();
-        self.answer(token, WorkerAnswer::Start(StartAnswer { attempt, result, boot_id, clock_ms: None }));
+        let (boot_id, clock_ms) = (self.identity.boot_id.clone(), self.clock(now));
+        self.answer(token, WorkerAnswer::Start(StartAnswer { attempt, result, boot_id, clock_ms }));
     }
 
     /// The token, unless this order's answer is to be lost.
-    fn answerable(&mut self, token: Token) -> Option<Token> {
+    pub(crate) fn answerable(&mut self, token: Token) -> Option<Token> {
         let lost = self.hits(self.behaviour.lost_answer_ratio);
         if lost {
             self.effects.push(WorkerEffect::Silence { token });
@@ -287,7 +302,7 @@
     fn start(&mut self, now: Millis, arrived: Millis, token: Token, o: StartOrder) {
         let token = self.answerable(token);
         if self.void.contains(&o.attempt) {
-            return self.start_answer(token, o.attempt, StartResult::Void);
+            return self.start_answer(now, token, o.attempt, StartResult::Void);
         }
         let (least, most) = self.behaviour.late_start_ms;
         let late = if most > 0 { self.rng.random_range(least.min(most)..=most) } else { 0 };
@@ -300,6 +315,7 @@
             payload: TaskPayload::of(&o.payload),
             job_name: o.job_name,
             phase: Phase::Ordered { begin_at: now + late, token },
+            terms: StartTerms { fence: o.term, lease_until: o.lease_until_ms },
         });
         self.advance(now);
     }
@@ -312,7 +328,7 @@
         let known = self.ended.get(&attempt).or_else(|| self.remembered.iter().find(|e| e.attempt == attempt)).cloned();
         for r in hit {
             match r.phase {
-                Phase::Ordered { token, .. } => self.start_answer(token, attempt, StartResult::Void),
+                Phase::Ordered { token, .. } => self.start_answer(now, token, attempt, StartResult::Void),
                 Phase::Running { started, .. } => self.end(now, r.attempt, r.job_name, started, Outcome::Stopped),
             }
         }
@@ -342,8 +358,13 @@
                 self.remembered.push_back(e);
             }
         }
+        self.wait(now, token, o.seen, o.wait_ms);
+    }
+
+    /// A hold waits for news.
+    pub(crate) fn wait(&mut self, now: Millis, token: Token, seen: u64, wait_ms: Millis) {
         self.registration.held(now);
-        self.holds.push(WaitingHold { token, seen: o.seen, until: now + o.wait_ms });
+        self.holds.push(WaitingHold { token, seen, until: now + wait_ms });
     }
 
     /// Answers the holds that have news or have waited long enough.
@@ -351,10 +372,16 @@
         if self.reach != Reach::Serving {
             return;
         }
-        let change = self.change;
-        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.holds).into_iter().partition(|h| h.seen != change || now >= h.until);
+        let (change, leased) = (self.change, self.lease.is_some());
+        let news = |seen| if leased { !self.ended.is_empty() } else { seen != change };
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.holds).into_iter().partition(|h| news(h.seen) || now >= h.until);
         self.holds = rest;
         for h in due {
+            if leased {
+                self.registration.held(now);
+                self.answer_leased_hold(now, h.token);
+                continue;
+            }
             let unchanged = h.seen == change;
             let (running, ended) =
                 if unchanged { (Vec::new(), Vec::new()) } else { (self.running(), self.ended.values().cloned().collect()) };
@@ -371,6 +398,7 @@
     /// Begins and ends what is due; ends first, so that room is given back before it is taken.
     fn advance(&mut self, now: Millis) {
         while self.reach.moves() {
+            self.lapse(now);
             let due = |r: &Run| r.due().is_some_and(|t| t <= now);
             let ended = self.runs.iter().position(|r| r.runs() && due(r));
             if let Some(i) = ended {
@@ -387,6 +415,13 @@
     }
 
     fn begin(&mut self, now: Millis, i: usize) {
+        if !self.may_begin(now, i) {
+            let r = self.runs.remove(i);
+            if let Phase::Ordered { token, .. } = r.phase {
+                self.start_answer(now, token, r.attempt, StartResult::Void);
+            }
+            return;
+        }
         let fails = self.hits(self.behaviour.fail_ratio);
         let stalls = self.hits(self.behaviour.stall_ratio);
         let b = &self.behaviour;
@@ -408,12 +443,13 @@
         self.change += 1;
         let (worker, boot) = (self.identity.name.clone(), self.identity.boot_id.clone());
         self.observe(Observation::RunStarted { worker, boot, attempt, job_name, cpu_millis, memory_mb, ordered_at });
-        self.start_answer(token, attempt, StartResult::Started);
+        self.start_answer(now, token, attempt, StartResult::Started);
     }
 
-    fn end(&mut self, now: Millis, attempt: AttemptId, job_name: Name, started: Millis, outcome: Outcome) {
+    pub(crate) fn end(&mut self, now: Millis, attempt: AttemptId, job_name: Name, started: Millis, outcome: Outcome) {
         self.change += 1;
-        self.ended.insert(attempt, EndedAttempt { ran_ms: now.saturating_sub(started), ..EndedAttempt::new(attempt, outcome) });
+        let sequence = self.count_end(attempt);
+        self.ended.insert(attempt, EndedAttempt { ran_ms: now.saturating_sub(started), sequence, ..EndedAttempt::new(attempt, outcome) });
         self.job_names.insert(attempt, job_name.clone());
         let (worker, boot) = (self.identity.name.clone(), self.identity.boot_id.clone());
         self.observe(Observation::RunEnded { worker, boot, attempt, job_name, outcome });
--- a/crates/worker-stand-in/tests/judged.rs
+++ b/crates/worker-stand-in/tests/judged.rs
@@ -115,7 +115,10 @@
                 match e {
                     WorkerEffect::Observe(o) => oracle.observe(now, o),
                     WorkerEffect::Answer { answer, .. } => learn(&mut tasks, w, answer),
-                    WorkerEffect::Silence { .. } | WorkerEffect::Register(_) => {}
+                    WorkerEffect::Silence { .. }
+                    | WorkerEffect::Refuse { .. }
+                    | WorkerEffect::OtherLife { .. }
+                    | WorkerEffect::Register(_) => {}
                 }
             }
         }
--- a/crates/worker-stand-in/tests/model.rs
+++ b/crates/worker-stand-in/tests/model.rs
@@ -53,6 +53,8 @@
             Some(format!("{token}:{kept}@{}", a.change))
         }
         WorkerEffect::Silence { token } => Some(format!("{token}:-")),
+        WorkerEffect::Refuse { token } => Some(format!("{token}:refused")),
+        WorkerEffect::OtherLife { token } => Some(format!("{token}:other life")),
         WorkerEffect::Register(_) | WorkerEffect::Observe(_) => None,
     };
     effects.iter().filter_map(word).collect()
