Let only the gateway that holds a worker say that its lease is over

Cause: what gateways tell of workers named neither the teller nor a time. A gateway that had stood still, or was cut off, woke, saw the leases that it had given run out, and told that all on those workers is lost; meanwhile the worker's new gateway had renewed the lease, so the tasks ran on, and the log started them anew. The class: a fact that is true of the teller's knowledge only, taken as one about the world.

Change: each assignment of a worker to a process of a gateway has a number that rises in the log. A gateway's facts carry the number under which they were learned; what is told of a worker as it is now (lost, missing, lapsed, silent, reachable, stalled, draining) counts only from the assignment in force. Starts, ends and voids stay true whoever tells them. A gateway that gets a worker back under another number, or as a new process, waits again for what others may have leased meanwhile. Passed-over facts are an event, which the leader logs.

The stored form gains two fields that default; wire version 3.

--- a/crates/cluster-messages/src/wire.rs
+++ b/crates/cluster-messages/src/wire.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// Version of the frames between gateways and schedulers.
-pub const WIRE_VERSION: u32 = 2;
+pub const WIRE_VERSION: u32 = 3;
 
 /// Bytes that are no message.
 #[derive(Debug, Snafu)]
--- a/crates/cluster-messages/src/worker_calls.rs
+++ b/crates/cluster-messages/src/worker_calls.rs
@@ -206,6 +206,10 @@
     #[n(17)]
     #[serde(default, skip_serializing_if = "is_default")]
     pub leased: bool,
+    /// Number of its assignment to the gateway that holds it.
+    #[n(18)]
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub assignment: u64,
 }
 
 /// Evacuates a zone, or ends that. `POST /v1/zones/{zone}/evacuate`.
--- a/crates/cluster-messages/src/worker_facts.rs
+++ b/crates/cluster-messages/src/worker_facts.rs
@@ -51,6 +51,20 @@
     #[n(14)]
     #[cbor(default)]
     pub silent: bool,
+    /// The assignment under which the gateway holds the worker; 0: it doesn't. What is told of the worker as it is now
+    /// counts only while that is the one in force.
+    #[n(15)]
+    #[cbor(default)]
+    pub assignment: u64,
+}
+
+impl WorkerFacts {
+    /// Whether it tells something of the worker that stays true only while the teller holds it.
+    pub fn tells_of_now(&self) -> bool {
+        let lists = [&self.missing, &self.lost, &self.stalled];
+        let flags = [self.draining.is_some(), self.reachable.is_some(), self.silent, self.lapsed];
+        lists.into_iter().any(|l| !l.is_empty()) || flags.contains(&true)
+    }
 }
 
 /// The last checkpoint of an attempt.
--- a/crates/firlock-client/tests/fleet/mod.rs
+++ b/crates/firlock-client/tests/fleet/mod.rs
@@ -23,6 +23,7 @@
         shun_level: 0,
         band: BandSummary { class: 2, state: s("open") },
         leased: false,
+        assignment: 1,
     }
 }
 
--- a/crates/gateway-core/src/fact_book.rs
+++ b/crates/gateway-core/src/fact_book.rs
@@ -11,10 +11,21 @@
     }
 }
 
+/// What facts are about, and under which assignment they were learned.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FactSource {
+    /// The worker.
+    pub worker: Name,
+    /// Its boot.
+    pub boot: String,
+    /// The assignment; 0 where the worker isn't in the share.
+    pub assignment: u64,
+}
+
 /// Facts on their way into the log: gathered, numbered, told again until they are done.
 #[derive(Clone, Debug, Default)]
 pub struct FactBook {
-    next: BTreeMap<(Name, String), FactLine>,
+    next: BTreeMap<FactSource, FactLine>,
     told: BTreeMap<u64, (usize, Vec<WorkerFacts>)>,
     reports: u64,
     facts_told: usize,
@@ -22,9 +33,9 @@
 }
 
 impl FactBook {
-    /// Where facts about one boot of one worker are added.
-    pub fn line(&mut self, worker: &str, boot: &str) -> &mut FactLine {
-        self.next.entry((worker.to_owned(), boot.to_owned())).or_default()
+    /// Where facts about one boot of one worker, held under one assignment, are added.
+    pub fn line(&mut self, worker: &str, boot: &str, assignment: u64) -> &mut FactLine {
+        self.next.entry(FactSource { worker: worker.to_owned(), boot: boot.to_owned(), assignment }).or_default()
     }
 
     /// Facts that are not done.
@@ -54,7 +65,7 @@
         }
         self.told_at = Some(now);
         let facts: Vec<WorkerFacts> =
-            std::mem::take(&mut self.next).into_iter().map(|((w, b), l)| l.into_facts(w, b)).filter(|f| !f.is_empty()).collect();
+            std::mem::take(&mut self.next).into_iter().map(|(source, line)| line.into_facts(source)).filter(|f| !f.is_empty()).collect();
         let facts: Vec<WorkerFacts> = facts.iter().filter_map(|f| worth(f, share)).collect();
         if facts.is_empty() {
             return None;
--- a/crates/gateway-core/src/fact_line.rs
+++ b/crates/gateway-core/src/fact_line.rs
@@ -59,10 +59,11 @@
     }
 
     /// As it travels.
-    pub fn into_facts(self, worker: Name, boot_id: String) -> WorkerFacts {
+    pub fn into_facts(self, source: FactSource) -> WorkerFacts {
         WorkerFacts {
-            worker,
-            boot_id,
+            worker: source.worker,
+            boot_id: source.boot,
+            assignment: source.assignment,
             started: self.started.into_iter().collect(),
             ended: self.ended.into_values().collect(),
             voided: self.voided.into_iter().collect(),
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -252,7 +252,7 @@
     pub(crate) fn voided(&mut self, worker: &str, a: AttemptId) {
         // Of a worker that the log has forgotten nothing is wanted.
         if let Some(boot) = self.share.boot(worker) {
-            self.facts.line(worker, &boot).voided.insert(a);
+            self.facts.line(worker, &boot, self.share.assignment(worker)).voided.insert(a);
         }
     }
 
--- a/crates/gateway-core/src/gateway_core_workers.rs
+++ b/crates/gateway-core/src/gateway_core_workers.rs
@@ -17,7 +17,7 @@
     /// Tells that nothing of a worker's attempts runs any more: its lease has lapsed, or its life is over.
     pub(crate) fn lose_attempts(&mut self, worker: &str, gone: bool) {
         let Some(h) = self.share.get_mut(worker) else { return };
-        let boot = h.boot().to_owned();
+        let (boot, assignment) = (h.boot().to_owned(), h.assignment);
         let (mut lost, checkpoints) = h.take_proven();
         lost.extend(self.starts.sent_to(worker));
         lost.extend(self.stops.open_at(worker));
@@ -26,7 +26,7 @@
             self.stops.answered(*a);
             self.gangs.gone(*a);
         }
-        let line = self.facts.line(worker, &boot);
+        let line = self.facts.line(worker, &boot, assignment);
         line.lost.extend(lost);
         line.checkpoints.extend(checkpoints.into_iter().map(|c| (c.attempt, c.checkpoint)));
         line.lapsed |= !gone;
@@ -48,8 +48,7 @@
         match reply {
             Reply::Answer(_) | Reply::OtherLife => h.order_answered(),
             Reply::Unknown if h.order_error() => {
-                let boot = h.boot().to_owned();
-                self.facts.line(worker, &boot).reachable = Some(false);
+                self.facts.line(worker, h.boot(), h.assignment).reachable = Some(false);
             }
             Reply::Unknown | Reply::NotSent => {}
         }
@@ -82,7 +81,7 @@
             // Another boot than the newest known: a hold's list or a stop proves it, once it is clear which came first.
             return;
         }
-        let line = self.facts.line(&worker, &known);
+        let line = self.facts.line(&worker, &known, self.share.assignment(&worker));
         if event != Some(OrderEvent::Proof) {
             line.voided.insert(a);
             return;
@@ -123,7 +122,7 @@
         self.stops.answered(a);
         // Whatever the worker said, this attempt doesn't leave from here any more.
         self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
-        let line = self.facts.line(worker, &r.boot_id);
+        let line = self.facts.line(worker, &r.boot_id, self.share.assignment(worker));
         let event = match r.result {
             StopResult::Void => {
                 line.voided.insert(a);
@@ -159,8 +158,7 @@
             let lost = h.error(self.now, &self.settings, &mut self.rng);
             let silent = h.take_silence();
             if lost || silent {
-                let boot = h.boot().to_owned();
-                let line = self.facts.line(worker, &boot);
+                let line = self.facts.line(worker, h.boot(), h.assignment);
                 line.silent |= silent;
                 if lost {
                     line.reachable = Some(false);
@@ -169,7 +167,7 @@
             return;
         };
         let mut line = FactLine::default();
-        let (left_in, leased) = (h.hold_step(), h.leased);
+        let (left_in, leased, assignment) = (h.hold_step(), h.leased && h.mine, h.assignment);
         if let Some(clock) = a.clock_ms {
             h.lease.showed(self.now, clock);
         }
@@ -184,7 +182,7 @@
             self.starts.proof(*x, OrderEvent::Proof);
         }
         if !line.is_empty() {
-            self.facts.line(worker, &a.boot_id).merge(line);
+            self.facts.line(worker, &a.boot_id, assignment).merge(line);
         }
         self.send_holds(Some(worker), fx);
     }
--- a/crates/gateway-core/src/prelude.rs
+++ b/crates/gateway-core/src/prelude.rs
@@ -22,7 +22,7 @@
 pub use crate::boot_standing::BootStanding;
 pub use crate::configuration_view::{ConfigurationView, PatchError, tree_digest};
 pub use crate::end_sequence::EndSequence;
-pub use crate::fact_book::FactBook;
+pub use crate::fact_book::{FactBook, FactSource};
 pub use crate::fact_line::FactLine;
 pub use crate::gang_watch::GangWatch;
 pub use crate::gateway_core::GatewayCore;
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -32,6 +32,8 @@
     pub address: String,
     /// Whether it is in this gateway's share.
     pub mine: bool,
+    /// The assignment under which it is in the share; 0 while it isn't.
+    pub assignment: u64,
     boot: String,
     boot_step: u64,
     boot_logged: bool,
@@ -88,6 +90,7 @@
         WorkerHold {
             address: w.address.clone(),
             mine: false,
+            assignment: 0,
             boot: w.boot_id.clone(),
             boot_step: 0,
             boot_logged: true,
@@ -133,7 +136,10 @@
         self.log_boot.clone_from(&w.boot_id);
         self.meet(step, &w.boot_id);
         self.mark_logged(&w.boot_id);
-        if mine && !self.mine {
+        let assignment = if mine { w.assignment } else { 0 };
+        let taken_over = mine && (!self.mine || assignment != self.assignment);
+        self.assignment = assignment;
+        if taken_over {
             self.next_at = now;
             self.errors = 0;
             self.silent_orders = 0;
--- a/crates/gateway-core/src/worker_share.rs
+++ b/crates/gateway-core/src/worker_share.rs
@@ -33,6 +33,11 @@
         self.all.get(worker).map(|w| w.boot().to_owned())
     }
 
+    /// The assignment under which a worker is held; 0 while it isn't in the share.
+    pub fn assignment(&self, worker: &str) -> u64 {
+        self.all.get(worker).map_or(0, |w| w.assignment)
+    }
+
     /// Where a boot of a worker stands.
     pub fn standing(&self, worker: &str, boot: &str) -> BootStanding {
         self.all.get(worker).map_or(BootStanding::Unknown, |w| w.standing(boot))
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -53,6 +53,8 @@
     WorkerReachable { worker: WorkerIndex, reachable: bool },
     /// A worker is held by another gateway, or by none.
     WorkerShared { worker: WorkerIndex, gateway: Option<Name> },
+    /// A gateway told of a worker that it doesn't hold any more: all but what stays true was passed over.
+    StaleFacts { worker: WorkerIndex, assignment: u64 },
     /// An attempt that the log doesn't know runs on a worker.
     OrphanSeen { worker: WorkerIndex, attempt: AttemptId },
     /// ... and doesn't any more.
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -83,9 +83,12 @@
             }
             Event::WorkerShared { worker, gateway } => {
                 if let Some(w) = self.tables.workers.get_mut(worker) {
+                    self.tables.last_assignment += 1;
+                    w.assignment = self.tables.last_assignment;
                     w.gateway.clone_from(gateway);
                 }
             }
+            Event::StaleFacts { .. } => {}
             Event::OrphanSeen { worker, attempt } => {
                 self.tables.orphans.insert((*worker, *attempt));
             }
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -46,7 +46,8 @@
         self.state.on_worker.get(&worker).into_iter().flatten().copied().collect()
     }
 
-    /// What a gateway learned from a worker. Each line is checked against the one attempt that is out.
+    /// What a gateway learned from a worker. Each line is checked against the one attempt that is out. Ends, starts and voids
+    /// stay true whoever tells them; what a worker is like now, and that its lease is over, counts from its holder alone.
     pub(crate) fn facts(&mut self, f: &WorkerFacts) {
         let Some((i, w)) = self.state.worker(&f.worker) else { return };
         let mut old = w.told.boot_id != f.boot_id;
@@ -54,7 +55,6 @@
             self.reborn(i, &f.boot_id);
             old = false;
         }
-        let at = self.now();
         for c in &f.checkpoints {
             self.checkpoint(i, c.attempt, &c.checkpoint);
         }
@@ -69,28 +69,44 @@
             return;
         }
         for &a in &f.started {
-            let live = self.live(i, a);
-            match live {
-                Some(x) if x.started.is_none() => {
-                    self.emit(Event::AttemptStarted { task: a.task, boot_id: f.boot_id.clone(), at });
-                    self.settle_gang(a.task);
-                }
-                Some(_) => {}
-                None if self.is_over(a) && !f.ended.iter().any(|e| e.attempt == a) => {
-                    self.emit(Event::OrphanSeen { worker: i, attempt: a })
-                }
-                None => {}
-            }
+            self.start_seen(i, a, f);
         }
         for &a in &f.voided {
-            if let Some(x) = self.live(i, a) {
-                // A void by the boot that told of its start means that it doesn't run there any more.
-                let how = if x.started.is_some() { TaskEvent::Lost } else { TaskEvent::Voided };
-                self.attempt_over(a.task, how);
-            } else {
-                self.orphan_gone(i, a);
+            self.runs_no_more(i, a);
+        }
+        if self.state.tables.workers[&i].is_assigned(f.assignment) {
+            self.holder_tells(i, f);
+        } else if f.tells_of_now() {
+            self.emit(Event::StaleFacts { worker: i, assignment: f.assignment });
+        }
+    }
+
+    /// An attempt runs on a worker.
+    fn start_seen(&mut self, worker: WorkerIndex, a: AttemptId, f: &WorkerFacts) {
+        let at = self.now();
+        match self.live(worker, a) {
+            Some(x) if x.started.is_none() => {
+                self.emit(Event::AttemptStarted { task: a.task, boot_id: f.boot_id.clone(), at });
+                self.settle_gang(a.task);
+            }
+            Some(_) => {}
+            None if self.is_over(a) && !f.ended.iter().any(|e| e.attempt == a) => self.emit(Event::OrphanSeen { worker, attempt: a }),
+            None => {}
+        }
+    }
+
+    /// An attempt doesn't run on a worker and never will, or not any more.
+    fn runs_no_more(&mut self, worker: WorkerIndex, a: AttemptId) {
+        match self.live(worker, a).map(|x| x.started.is_some()) {
+            Some(started) => self.attempt_over(a.task, if started { TaskEvent::Lost } else { TaskEvent::Voided }),
+            None => {
+                self.orphan_gone(worker, a);
             }
         }
+    }
+
+    /// What the gateway that holds a worker tells of it as it is now.
+    fn holder_tells(&mut self, i: WorkerIndex, f: &WorkerFacts) {
         for &a in &f.missing {
             if self.live(i, a).is_some_and(|x| x.started.as_ref().is_some_and(|s| s.1 == f.boot_id)) {
                 self.stop(a.task, StopReason::Missing);
@@ -99,12 +115,7 @@
             }
         }
         for &a in &f.lost {
-            if let Some(x) = self.live(i, a) {
-                let how = if x.started.is_some() { TaskEvent::Lost } else { TaskEvent::Voided };
-                self.attempt_over(a.task, how);
-            } else {
-                self.orphan_gone(i, a);
-            }
+            self.runs_no_more(i, a);
         }
         for &a in &f.stalled {
             let lasting = self.state.tables.jobs.get(&a.task.job).and_then(|j| j.spec.as_ref()).is_none_or(|s| s.run_until_cancelled);
@@ -335,9 +346,24 @@
 
     /// A gateway attached.
     pub(crate) fn gateway_attached(&mut self, name: Name, record: GatewayRecord) {
-        if self.state.tables.gateways.get(&name) != Some(&record) {
-            self.emit(Event::GatewayAttached { name, record });
-            self.share_workers();
+        let known = self.state.tables.gateways.get(&name);
+        if known == Some(&record) {
+            return;
+        }
+        let restarted = known.is_some_and(|k| k.instance != record.instance);
+        self.emit(Event::GatewayAttached { name: name.clone(), record });
+        if restarted {
+            self.assign_anew(&name);
+        }
+        self.share_workers();
+    }
+
+    /// A gateway's process was replaced: what the former one held, the new one holds under assignments of its own.
+    fn assign_anew(&mut self, gateway: &Name) {
+        let of = |w: &WorkerRecord| w.gateway.as_ref() == Some(gateway);
+        let held: Vec<WorkerIndex> = self.state.tables.workers.iter().filter(|(_, w)| of(w)).map(|(i, _)| *i).collect();
+        for worker in held {
+            self.emit(Event::WorkerShared { worker, gateway: Some(gateway.clone()) });
         }
     }
 
--- a/crates/scheduler-core/src/queries.rs
+++ b/crates/scheduler-core/src/queries.rs
@@ -80,6 +80,7 @@
             shun_level: w.health.level,
             band: band.map(band_summary).unwrap_or_default(),
             leased: t.leased,
+            assignment: w.assignment,
         })
     }
 
--- a/crates/scheduler-core/src/tables.rs
+++ b/crates/scheduler-core/src/tables.rs
@@ -60,6 +60,10 @@
     /// The operator's text beside the configuration in force.
     #[n(18)]
     pub configuration_source: Option<String>,
+    /// Number of the last assignment of a worker to a gateway.
+    #[n(19)]
+    #[cbor(default)]
+    pub last_assignment: u64,
 }
 
 impl Tables {
@@ -85,6 +89,7 @@
             fleet_health: (0.0, 0.0),
             unix_at_zero_ms: None,
             configuration_source: None,
+            last_assignment: 0,
         }
     }
 }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -88,7 +88,7 @@
                 Event::OrphanSeen { worker, attempt } => {
                     orphans.insert((*worker, *attempt));
                 }
-                Event::OrphanGone { .. } | Event::GatewayAttached { .. } | Event::GatewayLost { .. } => {}
+                Event::StaleFacts { .. } | Event::OrphanGone { .. } | Event::GatewayAttached { .. } | Event::GatewayLost { .. } => {}
                 Event::WorkerGone { name, .. } => u.workers_removed.push(name.clone()),
                 Event::ConfigurationChanged { .. } | Event::WallClockAgreed { .. } => {}
                 Event::ZoneEvacuated { .. } => u.evacuated_zones = Some(s.tables.evacuated.iter().cloned().collect()),
--- a/crates/scheduler-core/src/worker_record.rs
+++ b/crates/scheduler-core/src/worker_record.rs
@@ -34,6 +34,10 @@
     /// How long tasks run on it, against their like on other workers.
     #[n(9)]
     pub pace: WorkerPace,
+    /// Number of its assignment to a process of its gateway: it rises in the log with each assignment of any worker.
+    #[n(10)]
+    #[cbor(default)]
+    pub assignment: u64,
 }
 
 /// Old boots remembered.
@@ -54,6 +58,7 @@
             health: WorkerHealth::default(),
             leaving: false,
             pace: WorkerPace::default(),
+            assignment: 0,
         }
     }
 
@@ -62,6 +67,11 @@
         self.drain_ordered || self.drain_asked
     }
 
+    /// Whether whoever holds it under that assignment holds it now.
+    pub fn is_assigned(&self, assignment: u64) -> bool {
+        self.gateway.is_some() && self.assignment == assignment
+    }
+
     /// Its whole room.
     pub fn room(&self) -> Room {
         Room::new(self.told.cpu_millis, self.told.memory_mb).with_gpus(self.told.gpus)
--- a/crates/scheduler-core/tests/ledger/mod.rs
+++ b/crates/scheduler-core/tests/ledger/mod.rs
@@ -68,11 +68,29 @@
     }
 
     pub fn facts(&mut self, worker: &str, boot: &str, f: impl FnOnce(&mut WorkerFacts)) {
-        let mut w = WorkerFacts { worker: worker.into(), boot_id: boot.into(), ..WorkerFacts::default() };
+        let assignment = self.assignment(worker);
+        self.facts_under(assignment, worker, boot, f);
+    }
+
+    /// Facts from a gateway that holds, or held, a worker under that assignment.
+    pub fn facts_under(&mut self, assignment: u64, worker: &str, boot: &str, f: impl FnOnce(&mut WorkerFacts)) {
+        let mut w = WorkerFacts { worker: worker.into(), boot_id: boot.into(), assignment, ..WorkerFacts::default() };
         f(&mut w);
         self.one(Command::Facts(w));
     }
 
+    /// The assignment of a worker that is in force.
+    pub fn assignment(&self, worker: &str) -> u64 {
+        self.ledger.state.worker(worker).map_or(0, |w| w.1.assignment)
+    }
+
+    /// Another gateway of the zone, which then holds all workers.
+    pub fn move_workers_to(&mut self, gateway: &str) {
+        let lost = self.ledger.state.tables.gateways.iter().find(|g| g.1.alive).map(|(n, g)| (n.clone(), g.instance)).unwrap();
+        self.one(Command::GatewayAttached { name: gateway.into(), instance: 8, zone: "z1".into(), http_address: "b".into() });
+        self.one(Command::GatewayLost { name: lost.0, instance: lost.1 });
+    }
+
     pub fn ended(&mut self, t: TaskId, outcome: Outcome) {
         let (a, w) = (self.id(t), self.ledger.state.worker_name(self.attempt(t).unwrap().worker));
         self.facts(&w, "b1", |f| f.ended.push(EndedAttempt { ran_ms: 5, ..EndedAttempt::new(a, outcome) }));
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -19,7 +19,9 @@
     daemon_runtime, dial, init_logs, listen, shutdown_signal,
 };
 pub use replicated_log::prelude::{DiskLogStorage, LogStorage, PersistRequest, RestoredState, StorageError};
-pub use scheduler_core::prelude::{ChannelId, HaltReason, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings, StateError};
+pub use scheduler_core::prelude::{
+    ChannelId, Event, HaltReason, Scheduler, SchedulerEffect, SchedulerInput, SchedulerSettings, StateError,
+};
 pub use snafu::{OptionExt, ResultExt, Snafu};
 pub use tokio::sync::{mpsc, oneshot};
 pub use tokio::time::timeout;
