Give each assignment of a worker a fence of its own, and drop orders of earlier ones

Orders carried the leader's term as their fencing token, so two gateways of one term used the same token at a worker, and the worker could refuse nothing of the former one's.

Change: the number of the assignment is the fence of starts, stops and holds. An attempt keeps the one of its intent; a start whose assignment is not the one in force never leaves and is told as void. A stop has one constructor for what hasn't left. The term, which nothing else read, is gone from orders, attempts and the gateway's session.

--- a/crates/cluster-messages/src/worker_orders.rs
+++ b/crates/cluster-messages/src/worker_orders.rs
@@ -6,9 +6,10 @@
     /// The attempt.
     #[n(0)]
     pub attempt: AttemptId,
-    /// Term of the scheduler that intended it; for the worker's log, nothing relies on its check.
+    /// Number of the assignment under which its gateway holds the worker: a worker that checks it refuses orders with a lower
+    /// one than it has seen.
     #[n(1)]
-    pub term: u64,
+    pub fence: u64,
     /// The worker it is for.
     #[n(2)]
     pub worker: Name,
@@ -96,10 +97,17 @@
     /// The worker it is for.
     #[n(1)]
     pub worker: Name,
-    /// The newest term that its sender knows.
+    /// As for a start; set as the order leaves.
     #[n(2)]
     #[serde(default, skip_serializing_if = "is_default")]
-    pub term: u64,
+    pub fence: u64,
+}
+
+impl StopOrder {
+    /// A stop that has not left yet.
+    pub fn unsent(attempt: AttemptId, worker: Name) -> Self {
+        StopOrder { attempt, worker, fence: 0 }
+    }
 }
 
 /// What a worker says to a stop.
@@ -241,10 +249,10 @@
     #[n(6)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_until_ms: Option<Millis>,
-    /// The newest term that its sender knows.
+    /// As for a start.
     #[n(7)]
     #[serde(default, skip_serializing_if = "is_default")]
-    pub term: u64,
+    pub fence: u64,
 }
 
 /// The answer to a hold.
--- a/crates/fleet-simulator/src/occurrence.rs
+++ b/crates/fleet-simulator/src/occurrence.rs
@@ -61,7 +61,7 @@
     /// The gateway's executor writes the order out, or finds that it is too late.
     OrderLeaves { call: u64, gateway: usize, epoch: u64, worker: usize, order: Order, leave_by: Option<Millis> },
     /// An order reaches its worker.
-    OrderArrives { call: u64, worker: usize, order: Order },
+    OrderArrives { call: u64, gateway: usize, worker: usize, order: Order },
     /// What came of an order reaches the gateway.
     OrderOver { call: u64, reply: WorkerReply },
     /// A call reaches a gateway.
--- a/crates/fleet-simulator/src/simulation.rs
+++ b/crates/fleet-simulator/src/simulation.rs
@@ -24,6 +24,8 @@
     pub(crate) calm: bool,
     /// Attempts that reached each worker, for planted faults.
     pub(crate) reached: BTreeSet<(usize, AttemptId)>,
+    /// The gateway and the fence of the last start that reached each life of a worker with a lease.
+    pub(crate) last_starts: BTreeMap<Name, (usize, u64)>,
     /// Prints faults as they begin.
     pub verbose: bool,
     events: u64,
@@ -62,6 +64,7 @@
             digests: BTreeMap::new(),
             calm: false,
             reached: BTreeSet::new(),
+            last_starts: BTreeMap::new(),
             verbose: false,
             events: 0,
             rng,
@@ -147,7 +150,7 @@
             Occurrence::OrderLeaves { call, gateway, epoch, worker, order, leave_by } => {
                 self.order_leaves(call, gateway, epoch, worker, order, leave_by)
             }
-            Occurrence::OrderArrives { call, worker, order } => self.order_arrives(call, worker, order),
+            Occurrence::OrderArrives { call, gateway, worker, order } => self.order_arrives(call, gateway, worker, order),
             Occurrence::OrderOver { call, reply } => self.order_over(call, reply),
             Occurrence::Ask { gateway, origin, time_budget_ms, body } => self.ask_arrives(gateway, origin, time_budget_ms, *body),
             Occurrence::AskOver { origin, result } => self.ask_over(origin, *result),
--- a/crates/fleet-simulator/src/simulation_gateways.rs
+++ b/crates/fleet-simulator/src/simulation_gateways.rs
@@ -165,17 +165,17 @@
         self.agenda.set(self.now + wait, Occurrence::OrderOver { call, reply: WorkerReply::Unknown });
         if let Some(late) = self.network.order_late_by() {
             // Carried out long after it was given up, and never answered.
-            self.agenda.set(self.now + late, Occurrence::OrderArrives { call: NO_CALL, worker, order });
+            self.agenda.set(self.now + late, Occurrence::OrderArrives { call: NO_CALL, gateway, worker, order });
             return;
         }
         match self.network.cut_until(self.now, Node::Gateway(gateway), Node::Worker(worker)) {
-            None => self.agenda.set(self.now + delay, Occurrence::OrderArrives { call, worker, order }),
+            None => self.agenda.set(self.now + delay, Occurrence::OrderArrives { call, gateway, worker, order }),
             // Whoever gives up on an order breaks its channel, so that what is still stuck in it is lost for good.
             Some(heals)
                 if self.network.chance(STUCK_RATIO)
                     && (heals <= self.now + wait || self.settings.plant == Some(Plant::AbandonedArrives)) =>
             {
-                self.agenda.set(heals + delay, Occurrence::OrderArrives { call, worker, order });
+                self.agenda.set(heals + delay, Occurrence::OrderArrives { call, gateway, worker, order });
             }
             Some(_) => {}
         }
--- a/crates/fleet-simulator/src/simulation_workers.rs
+++ b/crates/fleet-simulator/src/simulation_workers.rs
@@ -82,7 +82,19 @@
         self.agenda.set(self.now + delay, o);
     }
 
-    pub(crate) fn order_arrives(&mut self, token: u64, i: usize, order: Order) {
+    /// Two gateways may not use the same fence at one life of a worker: it couldn't refuse what the former one still sends.
+    fn check_fence(&mut self, gateway: usize, order: &Order) {
+        let Order::Start(s) = order else { return };
+        let Some((other, fence)) = self.last_starts.insert(s.worker.clone(), (gateway, s.fence)) else { return };
+        if other != gateway && fence == s.fence {
+            self.divergences.push(format!("{} ms: gateways {other} and {gateway} both use fence {fence} at {}", self.now, s.worker));
+        }
+    }
+
+    pub(crate) fn order_arrives(&mut self, token: u64, gateway: usize, i: usize, order: Order) {
+        if self.settings.leased {
+            self.check_fence(gateway, &order);
+        }
         if let (Some(Plant::StopForgotten), Order::Stop(s)) = (self.settings.plant, &order)
             && !self.reached.contains(&(i, s.attempt))
         {
--- a/crates/gateway-core/src/gang_watch.rs
+++ b/crates/gateway-core/src/gang_watch.rs
@@ -46,6 +46,6 @@
     pub fn over(&mut self, now: Millis) -> Vec<StopOrder> {
         let due: Vec<StepId> = self.gangs.iter().filter(|(_, g)| g.0 <= now).map(|(k, _)| *k).collect();
         let gangs = due.into_iter().filter_map(|k| self.gangs.remove(&k));
-        gangs.flat_map(|g| g.1).map(|(attempt, worker)| StopOrder { attempt, worker, term: 0 }).collect()
+        gangs.flat_map(|g| g.1).map(|(attempt, worker)| StopOrder::unsent(attempt, worker)).collect()
     }
 }
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -197,14 +197,7 @@
             return;
         }
         let may_lease = self.session.silence(self.now).is_some_and(|s| s < self.settings.grant_silence());
-        let permit = HoldPermit {
-            now: self.now,
-            step: self.steps,
-            settings: &self.settings,
-            gateway: &self.name,
-            term: self.session.term(),
-            may_lease,
-        };
+        let permit = HoldPermit { now: self.now, step: self.steps, settings: &self.settings, gateway: &self.name, may_lease };
         self.counters.holds_sent += match worker {
             Some(w) => self.share.hold(w, &permit, fx),
             None => self.share.holds(&permit, fx),
@@ -224,8 +217,7 @@
     /// Stops, then starts: what is to be stopped doesn't leave any more.
     pub(crate) fn send_orders(&mut self, fx: &mut Vec<GatewayEffect>) {
         let share = &self.share;
-        self.counters.stops_sent +=
-            self.stops.send(self.now, self.steps, self.session.term(), |w| share.mine(w).map(|h| h.address.clone()), fx);
+        self.counters.stops_sent += self.stops.send(self.now, self.steps, |w| share.mine(w).map(|h| (h.address.clone(), h.assignment)), fx);
         let before = fx.len();
         let mut gate = OrderGate { now: self.now, bound: self.session.bound(), share: &mut self.share, settings: &self.settings };
         let dropped = self.starts.send(self.settings.starts_out(), &mut gate, fx);
--- a/crates/gateway-core/src/gateway_core_session.rs
+++ b/crates/gateway-core/src/gateway_core_session.rs
@@ -8,7 +8,7 @@
         let attached = self.session.attached().is_some();
         self.session.heard(self.now);
         match frame {
-            SchedulerFrame::Attached { term, log_time_ms, schedulers, .. } => self.attached(channel, term, log_time_ms, &schedulers, fx),
+            SchedulerFrame::Attached { log_time_ms, schedulers, .. } => self.attached(channel, log_time_ms, &schedulers, fx),
             SchedulerFrame::NotLeader { leader, schedulers } => {
                 self.session.learn(&schedulers);
                 self.session.not_leader(self.now, &self.settings, leader, &mut self.rng, fx);
@@ -42,15 +42,8 @@
     }
 
     /// The elected scheduler took the attach: all that waits for it leaves.
-    pub(crate) fn attached(
-        &mut self,
-        channel: ChannelId,
-        term: u64,
-        log_time_ms: Millis,
-        schedulers: &[String],
-        fx: &mut Vec<GatewayEffect>,
-    ) {
-        if !self.session.attach_taken(self.now, term, log_time_ms) {
+    pub(crate) fn attached(&mut self, channel: ChannelId, log_time_ms: Millis, schedulers: &[String], fx: &mut Vec<GatewayEffect>) {
+        if !self.session.attach_taken(self.now, log_time_ms) {
             return;
         }
         self.counters.attaches += 1;
--- a/crates/gateway-core/src/gateway_core_workers.rs
+++ b/crates/gateway-core/src/gateway_core_workers.rs
@@ -112,7 +112,7 @@
             return;
         };
         if r.result == StopResult::Accepted {
-            self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
+            self.starts.forbid(&StopOrder::unsent(a, worker.to_owned()));
             self.stops.accepted(self.now, self.steps, &self.settings, a, &mut self.rng);
             if let Some(h) = self.share.get_mut(worker) {
                 h.look_soon();
@@ -121,7 +121,7 @@
         }
         self.stops.answered(a);
         // Whatever the worker said, this attempt doesn't leave from here any more.
-        self.starts.forbid(&StopOrder { attempt: a, worker: worker.to_owned(), term: 0 });
+        self.starts.forbid(&StopOrder::unsent(a, worker.to_owned()));
         let line = self.facts.line(worker, &r.boot_id, self.share.assignment(worker));
         let event = match r.result {
             StopResult::Void => {
--- a/crates/gateway-core/src/order_gate.rs
+++ b/crates/gateway-core/src/order_gate.rs
@@ -1,6 +1,6 @@
 use crate::prelude::*;
 
-/// Lets a start pass while cluster time is surely within its budget and its worker is in the share.
+/// Lets a start pass while cluster time is surely within its budget and its worker is held under the assignment that the start names.
 #[derive(Debug)]
 pub struct OrderGate<'a> {
     /// Local time.
@@ -31,14 +31,15 @@
 impl StartGate for OrderGate<'_> {
     fn look(&mut self, order: &StartOrder) -> Passage {
         match self.leave_by(order) {
-            Some(_) if self.share.mine(&order.worker).is_some() => Passage::Later,
+            Some(_) if self.share.mine(&order.worker).is_some_and(|w| w.assignment == order.fence) => Passage::Later,
             _ => Passage::Never,
         }
     }
 
     fn pass(&mut self, order: &StartOrder) -> Passage {
         let (Some(leave_by), expected) = (self.leave_by(order), self.expected(order)) else { return Passage::Never };
-        let Some(worker) = self.share.mine_mut(&order.worker) else { return Passage::Never };
+        let held = self.share.mine_mut(&order.worker).filter(|w| w.assignment == order.fence);
+        let Some(worker) = held else { return Passage::Never };
         let address = worker.address.clone();
         if !worker.leased {
             return Passage::Now { address, leave_by, lease_until: None, expected };
--- a/crates/gateway-core/src/session.rs
+++ b/crates/gateway-core/src/session.rs
@@ -28,7 +28,6 @@
     stamps: BTreeMap<u64, Millis>,
     first_stamp: u64,
     bound: Option<TimeBound>,
-    term: u64,
 }
 
 impl Session {
@@ -53,7 +52,6 @@
             stamps: BTreeMap::new(),
             first_stamp: 0,
             bound: None,
-            term: 0,
         }
     }
 
@@ -82,11 +80,6 @@
         self.bound
     }
 
-    /// The newest term of an elected scheduler that took an attach.
-    pub fn term(&self) -> u64 {
-        self.term
-    }
-
     /// How long ago an elected scheduler surely held its lease.
     pub fn silence(&self, now: Millis) -> Option<Millis> {
         self.bound.map(|b| now.saturating_sub(b.asked_at))
@@ -188,13 +181,12 @@
     }
 
     /// The scheduler took the attach, which was sent when this state began.
-    pub fn attach_taken(&mut self, now: Millis, term: u64, log_time_ms: Millis) -> bool {
+    pub fn attach_taken(&mut self, now: Millis, log_time_ms: Millis) -> bool {
         let asked_at = self.since;
         if !self.go(SessionEvent::Attached, now) {
             return false;
         }
         self.bound = Some(TimeBound { log_time_ms, asked_at });
-        self.term = self.term.max(term);
         (self.tries, self.hops, self.hint) = (0, 0, None);
         self.first_stamp = self.stamp + 1;
         self.pulse_at = now;
--- a/crates/gateway-core/src/stop_book.rs
+++ b/crates/gateway-core/src/stop_book.rs
@@ -45,22 +45,15 @@
         self.open.retain(|a, s| wanted(*a, &s.worker));
     }
 
-    /// Sends what is due; `address` knows the workers of this gateway's share.
-    pub fn send(
-        &mut self,
-        now: Millis,
-        step: u64,
-        term: u64,
-        address: impl Fn(&str) -> Option<String>,
-        fx: &mut Vec<GatewayEffect>,
-    ) -> u64 {
+    /// Sends what is due; `holder` knows address and assignment of the workers of this gateway's share.
+    pub fn send(&mut self, now: Millis, step: u64, holder: impl Fn(&str) -> Option<(String, u64)>, fx: &mut Vec<GatewayEffect>) -> u64 {
         let mut n = 0;
         for (a, s) in self.open.iter_mut().filter(|(_, s)| !s.out && s.next_at <= now) {
-            if let Some(address) = address(&s.worker) {
+            if let Some((address, fence)) = holder(&s.worker) {
                 s.out = true;
                 s.sent_step = step;
                 n += 1;
-                fx.push(GatewayEffect::Stop { address, order: StopOrder { attempt: *a, worker: s.worker.clone(), term } });
+                fx.push(GatewayEffect::Stop { address, order: StopOrder { attempt: *a, worker: s.worker.clone(), fence } });
             }
         }
         n
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -78,8 +78,6 @@
     pub settings: &'p GatewaySettings,
     /// The gateway's name.
     pub gateway: &'p str,
-    /// The newest term known.
-    pub term: u64,
     /// Whether a lease may be given.
     pub may_lease: bool,
 }
@@ -256,7 +254,7 @@
             acknowledged: self.ended.iter().filter(|(_, done)| **done).map(|(a, _)| *a).collect(),
             observed: self.ends.observed(),
             lease_until_ms: lease,
-            term: p.term,
+            fence: self.assignment,
         };
         self.open = Some(OpenHold { order: order.clone(), step: p.step });
         self.next_at = now + s.hold_gap();
--- a/crates/gateway-core/tests/lease_test.rs
+++ b/crates/gateway-core/tests/lease_test.rs
@@ -178,3 +178,49 @@
     let fx = silent(&mut t, 2_000);
     assert_eq!(facts(&fx).iter().filter(|f| f.silent).count(), 1);
 }
+
+/// The worker is held under another assignment.
+fn assigned(t: &mut Stand, assignment: u64) -> Vec<GatewayEffect> {
+    let summary = WorkerSummary { leased: true, assignment, ..worker(W, W, Some(ME)) };
+    t.update(|u| u.workers = vec![summary])
+}
+
+#[test]
+fn orders_carry_the_assignment_as_their_fence_and_those_of_an_earlier_one_never_leave() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[], &[]);
+    assigned(&mut t, ASSIGNMENT + 4);
+    let mut fx = t.give(id(1));
+    fx.extend(pass(&mut t, 500));
+    assert!(starts(&fx).is_empty(), "it was intended under the assignment before");
+    assert!(facts(&fx).iter().any(|f| f.voided == [id(1)]), "{fx:?}");
+    let order = StartOrder { fence: ASSIGNMENT + 4, ..t.order(id(2)) };
+    let mut fx = t.update(|u| u.starts = vec![order]);
+    assert_eq!(starts(&fx), [id(2)]);
+    fx.extend(pass(&mut t, 500));
+    assert!(holds(&fx).iter().all(|h| h.fence == ASSIGNMENT + 4), "{fx:?}");
+}
+
+#[test]
+fn a_worker_that_went_elsewhere_and_came_back_unseen_has_leases_of_others_waited_for() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[id(1)], &[]);
+    pass(&mut t, 20_000);
+    assigned(&mut t, ASSIGNMENT + 2);
+    let fx = silent(&mut t, 10_000);
+    assert!(facts(&fx).iter().all(|f| !f.lapsed), "another gateway may have held it meanwhile");
+    let fx = silent(&mut t, 8_000);
+    let told = facts(&fx);
+    assert!(told.iter().any(|f| f.lapsed && f.assignment == ASSIGNMENT + 2), "{told:?}");
+}
+
+#[test]
+fn facts_carry_the_assignment_under_which_they_were_learned() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[id(1)], &[]);
+    let mut fx = silent(&mut t, 600);
+    t.update(|u| u.workers = vec![WorkerSummary { leased: true, assignment: ASSIGNMENT + 1, ..worker(W, W, Some("g2")) }]);
+    fx.extend(pass(&mut t, 500));
+    let told: Vec<WorkerFacts> = facts(&fx).into_iter().filter(|f| f.reachable == Some(false)).collect();
+    assert!(!told.is_empty() && told.iter().all(|f| f.assignment == ASSIGNMENT), "{told:?}");
+}
--- a/crates/gateway-core/tests/order_test.rs
+++ b/crates/gateway-core/tests/order_test.rs
@@ -90,7 +90,7 @@
     let o = t.order(id(1));
     let mut fx = t.update(|u| {
         u.starts = vec![o];
-        u.stops = vec![StopOrder { attempt: id(1), worker: W.into(), term: 0 }];
+        u.stops = vec![StopOrder::unsent(id(1), W.into())];
     });
     assert!(starts(&fx).is_empty());
     fx.extend(t.tick(GatewaySettings::default().fact_interval() + 10));
--- a/crates/gateway-core/tests/stand/mod.rs
+++ b/crates/gateway-core/tests/stand/mod.rs
@@ -5,6 +5,8 @@
 pub const W: &str = "w1";
 pub const AT: &str = "127.0.9.1:80";
 pub const LEADER: &str = "127.0.0.2:70";
+/// The assignment under which [`W`] is held.
+pub const ASSIGNMENT: u64 = 1;
 pub const BUDGET: Millis = 1_000;
 
 /// A gateway with one channel, driven by hand.
@@ -103,7 +105,7 @@
         StartOrder {
             gang_by_ms: None,
             attempt: a,
-            term: 1,
+            fence: ASSIGNMENT,
             worker: W.into(),
             job_name: "j".into(),
             service: "s".into(),
@@ -125,7 +127,7 @@
     }
 
     pub fn stop(&mut self, a: AttemptId) -> Vec<GatewayEffect> {
-        self.update(|u| u.stops = vec![StopOrder { attempt: a, worker: W.into(), term: 0 }])
+        self.update(|u| u.stops = vec![StopOrder::unsent(a, W.into())])
     }
 
     pub fn started(&mut self, a: AttemptId, reply: Reply<StartResult>) -> Vec<GatewayEffect> {
@@ -203,6 +205,7 @@
         memory_mb: 1,
         gateway: gateway.map(str::to_owned),
         reachable: true,
+        assignment: ASSIGNMENT,
         ..WorkerSummary::default()
     }
 }
--- a/crates/gateway/tests/daemon_test.rs
+++ b/crates/gateway/tests/daemon_test.rs
@@ -125,7 +125,7 @@
             estimate_ms: 0,
             gang_by_ms: None,
             attempt,
-            term: 1,
+            fence: 1,
             worker: WORKER.into(),
             job_name: "j1".into(),
             service: "s".into(),
--- a/crates/scheduler-core/src/attempt.rs
+++ b/crates/scheduler-core/src/attempt.rs
@@ -49,9 +49,6 @@
     /// That gateway's instance.
     #[n(4)]
     pub instance: u64,
-    /// Term of the intent.
-    #[n(5)]
-    pub term: u64,
     /// When it was intended, in cluster time.
     #[n(6)]
     pub intended_at: Millis,
@@ -74,4 +71,8 @@
     /// Whether it goes on from a checkpoint, or runs away from its data: its duration then tells little of its worker.
     #[n(12)]
     pub partial: bool,
+    /// The assignment of the worker at the intent.
+    #[n(13)]
+    #[cbor(default)]
+    pub fence: u64,
 }
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -14,7 +14,7 @@
     /// A job is past its retention.
     JobForgotten { job: JobNumber },
     /// An attempt is intended.
-    AttemptIntended { task: TaskId, worker: WorkerIndex, at: Millis, term: u64 },
+    AttemptIntended { task: TaskId, worker: WorkerIndex, at: Millis },
     /// An attempt's start is proven.
     AttemptStarted { task: TaskId, boot_id: String, at: Millis },
     /// An attempt is to be stopped.
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -12,7 +12,7 @@
             Event::JobEnding { job, state, at } => self.job_ending(*job, *state, *at),
             Event::JobOver { job, state, at } => self.job_over(*job, *state, *at),
             Event::JobForgotten { job } => self.job_forgotten(*job),
-            Event::AttemptIntended { task, worker, at, term } => self.attempt_intended(*task, *worker, *at, *term),
+            Event::AttemptIntended { task, worker, at } => self.attempt_intended(*task, *worker, *at),
             Event::AttemptStarted { task, boot_id, at } => self.attempt_started(*task, boot_id, *at),
             Event::StopWanted { task, reason } => {
                 if *reason == StopReason::Stalled {
@@ -276,7 +276,7 @@
         }
     }
 
-    fn attempt_intended(&mut self, task: TaskId, worker: WorkerIndex, at: Millis, term: u64) {
+    fn attempt_intended(&mut self, task: TaskId, worker: WorkerIndex, at: Millis) {
         let key = self.tables.next_key;
         self.tables.next_key += 1;
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
@@ -301,6 +301,7 @@
         s.live += 1;
         j.count(from, to);
         w.used = w.used.add(room);
+        let fence = w.assignment;
         let gateway = w.gateway.clone().unwrap_or_default();
         let instance = self.tables.gateways.get(&gateway).map_or(0, |g| g.instance);
         let z = self.zone_room.entry(w.told.zone.clone()).or_default();
@@ -315,7 +316,6 @@
             worker,
             gateway,
             instance,
-            term,
             intended_at: at,
             started: None,
             stop: None,
@@ -323,6 +323,7 @@
             check_at: 0,
             overdue: false,
             partial,
+            fence,
         };
         self.tables.attempts.insert(task, a);
         let place = self.task_to_place(&spec, task.step, key);
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -46,13 +46,13 @@
     /// let spec = JobSpec::single("hold-7", "table-holds", "booking", 2, 500, 256);
     /// let submit = Command::Submit { spec, due_in_ms: 0 };
     /// let batch = CommandBatch { proposer: 1, number: 1, commands: vec![submit.clone(), submit] };
-    /// let answers = l.apply(1, 10, batch);
+    /// let answers = l.apply(10, batch);
     /// assert!(matches!(&answers[0], Some(Ok(AnswerBody::SubmitJob(a))) if !a.already));
     /// assert!(matches!(&answers[1], Some(Ok(AnswerBody::SubmitJob(a))) if a.already));
     /// ```
-    pub fn apply(&mut self, term: u64, log_time: Millis, batch: CommandBatch) -> Vec<Answer> {
+    pub fn apply(&mut self, log_time: Millis, batch: CommandBatch) -> Vec<Answer> {
         self.advance(log_time);
-        batch.commands.into_iter().map(|c| self.command(term, c)).collect()
+        batch.commands.into_iter().map(|c| self.command(c)).collect()
     }
 
     /// Cluster time of the last entry.
@@ -60,7 +60,7 @@
         self.state.tables.log_time
     }
 
-    fn command(&mut self, term: u64, c: Command) -> Answer {
+    fn command(&mut self, c: Command) -> Answer {
         match c {
             Command::Submit { spec, due_in_ms } => Some(self.submit(spec, due_in_ms).map(AnswerBody::SubmitJob)),
             Command::Cancel(c) => Some(self.cancel(&c.name).map(AnswerBody::CancelJob)),
@@ -91,7 +91,7 @@
                 None
             }
             Command::Start { starts, gang } => {
-                self.start(term, &starts, gang);
+                self.start(&starts, gang);
                 None
             }
             Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms } => {
@@ -197,7 +197,7 @@
     }
 
     /// Starts that placement worked out: each is checked again against the state as it is now.
-    fn start(&mut self, term: u64, starts: &[(TaskId, WorkerIndex)], gang: bool) {
+    fn start(&mut self, starts: &[(TaskId, WorkerIndex)], gang: bool) {
         let at = self.now();
         let mut asked: BTreeMap<WorkerIndex, Room> = BTreeMap::new();
         let mut good = Vec::new();
@@ -220,7 +220,7 @@
             self.emit(Event::GangOut { step, by });
         }
         for (task, worker) in good {
-            self.emit(Event::AttemptIntended { task, worker, at, term });
+            self.emit(Event::AttemptIntended { task, worker, at });
         }
     }
 
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -232,7 +232,7 @@
         let mine = batch.proposer == self.replica.id() && self.leading.is_some_and(|l| l.0 == e.term);
         let number = batch.number;
         self.counters.commands += batch.commands.len() as u64;
-        let answers = self.ledger.apply(e.term, e.log_time, batch);
+        let answers = self.ledger.apply(e.log_time, batch);
         if !mine {
             return;
         }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -103,7 +103,7 @@
         let mine = |w: WorkerIndex| s.tables.workers.get(&w).is_some_and(|w| w.gateway.as_deref() == Some(gateway));
         u.stops = stops.iter().filter_map(|t| self.stop_order(*t).filter(|o| mine(o.0))).map(|o| o.1).collect();
         let orphans = orphans.into_iter().filter(|(w, a)| mine(*w) && s.tables.orphans.contains(&(*w, *a)));
-        u.stops.extend(orphans.map(|(w, attempt)| StopOrder { attempt, worker: s.worker_name(w), term: 0 }));
+        u.stops.extend(orphans.map(|(w, attempt)| StopOrder::unsent(attempt, s.worker_name(w))));
         for w in workers {
             self.add_worker(&mut u, gateway, w);
         }
@@ -123,12 +123,12 @@
                     u.held.push((line.name.clone(), attempt));
                 }
                 if a.stop.is_some() {
-                    u.stops.push(StopOrder { attempt, worker: line.name.clone(), term: 0 });
+                    u.stops.push(StopOrder::unsent(attempt, line.name.clone()));
                 }
             }
             let from = (w, *AttemptId::of_job(0).start());
             for (_, attempt) in s.tables.orphans.range(from..).take_while(|o| o.0 == w) {
-                u.stops.push(StopOrder { attempt: *attempt, worker: line.name.clone(), term: 0 });
+                u.stops.push(StopOrder::unsent(*attempt, line.name.clone()));
             }
         }
         u.workers.push(line);
@@ -150,7 +150,7 @@
             lease_until_ms: None,
             estimate_ms: st.estimate_ms,
             attempt: AttemptId { task: t, number: a.number },
-            term: a.term,
+            fence: a.fence,
             worker: s.worker_name(a.worker),
             job_name: spec.name.clone(),
             service: spec.service.clone(),
@@ -166,7 +166,7 @@
     /// The stop order of an attempt that is to be stopped, and where it is.
     fn stop_order(&self, t: TaskId) -> Option<(WorkerIndex, StopOrder)> {
         let a = self.state.tables.attempts.get(&t).filter(|a| a.stop.is_some())?;
-        Some((a.worker, StopOrder { attempt: AttemptId { task: t, number: a.number }, worker: self.state.worker_name(a.worker), term: 0 }))
+        Some((a.worker, StopOrder::unsent(AttemptId { task: t, number: a.number }, self.state.worker_name(a.worker))))
     }
 
     /// What takes a gateway from its version to the one in force.
--- a/crates/scheduler-core/tests/assignment_test.rs
+++ b/crates/scheduler-core/tests/assignment_test.rs
@@ -75,3 +75,19 @@
     assert_eq!(again.tables.last_assignment, b.ledger.state.tables.last_assignment);
     assert_eq!(again.worker("w1").unwrap().1.assignment, b.assignment("w1"));
 }
+
+#[test]
+fn two_gateways_never_use_the_same_fence_at_a_worker() {
+    let mut b = Bench::new(1);
+    let mut fences = Vec::new();
+    for (n, (gateway, instance)) in [("g", 7), ("h", 8), ("g", 8)].into_iter().enumerate() {
+        let number = b.submit(job(&format!("hold-{n}"), 1));
+        b.plan();
+        let updates = b.ledger.updates(gateway, instance, (0, 0), 0, true);
+        let orders: Vec<StartOrder> = updates.into_iter().flat_map(|u| u.starts).filter(|o| o.attempt.task.job == number).collect();
+        fences.extend(orders.iter().map(|o| o.fence));
+        b.move_workers_to(if gateway == "g" { "h" } else { "g" });
+    }
+    assert_eq!(fences.len(), 3);
+    assert!(fences.is_sorted_by(|a, b| a < b), "{fences:?}");
+}
--- a/crates/scheduler-core/tests/flush_test.rs
+++ b/crates/scheduler-core/tests/flush_test.rs
@@ -32,10 +32,10 @@
 fn orders_go_only_to_the_gateway_that_holds_the_worker() {
     let mut ledger = Ledger::new(ClusterState::new(ClusterRules::new(1_000)).unwrap());
     let told = RegisterWorker { name: "w".into(), boot_id: "b".into(), zone: "z1".into(), ..RegisterWorker::default() };
-    let (at, term) = (5, 1);
+    let at = 5;
     ledger.state.fold(&Event::WorkerKnown { worker: 0, told });
     ledger.state.fold(&Event::WorkerShared { worker: 0, gateway: Some("g".into()) });
-    let intended = Event::AttemptIntended { task: TaskId::new(1, 0, 0), worker: 0, at, term };
+    let intended = Event::AttemptIntended { task: TaskId::new(1, 0, 0), worker: 0, at };
     let other = GatewaySession { name: "h".into(), ..session() };
     assert_eq!(session().wanted_flush(&ledger.state, [&intended].into_iter()), Flush::Orders);
     assert_eq!(other.wanted_flush(&ledger.state, [&intended].into_iter()), Flush::Later);
@@ -46,7 +46,7 @@
     let mut ledger = Ledger::new(ClusterState::new(ClusterRules::new(1_000)).unwrap());
     for n in 0..300 {
         let spec = JobSpec::single(&format!("j{n}"), "q", "s", 1, 100, 100);
-        ledger.apply(1, 10 + n, CommandBatch { proposer: 1, number: n, commands: vec![Command::Submit { spec, due_in_ms: 0 }] });
+        ledger.apply(10 + n, CommandBatch { proposer: 1, number: n, commands: vec![Command::Submit { spec, due_in_ms: 0 }] });
     }
     let parts = ledger.updates("g", 1, (0, 0), 0, true);
     assert!(parts[0].reset && parts[0].evacuated_zones.is_some() && parts[0].jobs.is_empty());
--- a/crates/scheduler-core/tests/fuzz_test.rs
+++ b/crates/scheduler-core/tests/fuzz_test.rs
@@ -18,7 +18,7 @@
     let submit = Command::Submit { spec: JobSpec::single("j", "q", "s", 3, 100, 100), due_in_ms: 0 };
     let start = Command::Start { starts: vec![(TaskId::new(1, 0, 0), 0)], gang: false };
     let commands = vec![attached, Command::Register(told), submit, start];
-    l.apply(1, 10, CommandBatch { proposer: 1, number: 1, commands });
+    l.apply(10, CommandBatch { proposer: 1, number: 1, commands });
     assert_eq!(l.state.tables.attempts.len(), 1);
     l.state
 }
@@ -87,7 +87,7 @@
                 }
                 _ => Command::GatewayLost { name: "g".into(), instance: 1 },
             };
-            l.apply(1, now, CommandBatch { proposer: 1, number: 1, commands: vec![c] });
+            l.apply(now, CommandBatch { proposer: 1, number: 1, commands: vec![c] });
             let t = &l.state.tables;
             for (i, w) in &t.workers {
                 let out = t.attempts.values().filter(|a| a.worker == *i).fold(Room::new(0, 0), |s, a| s.add(a.room));
--- a/crates/scheduler-core/tests/gang_end_test.rs
+++ b/crates/scheduler-core/tests/gang_end_test.rs
@@ -28,7 +28,7 @@
 }
 
 fn apply(l: &mut Ledger, at: Millis, commands: Vec<Command>) {
-    l.apply(1, at, CommandBatch { proposer: 1, number: at, commands });
+    l.apply(at, CommandBatch { proposer: 1, number: at, commands });
 }
 
 fn voided(l: &Ledger) -> Command {
--- a/crates/scheduler-core/tests/ledger/mod.rs
+++ b/crates/scheduler-core/tests/ledger/mod.rs
@@ -38,7 +38,7 @@
 
     pub fn one(&mut self, c: Command) -> Answer {
         self.now += 10;
-        self.ledger.apply(1, self.now, CommandBatch { proposer: 1, number: 1, commands: vec![c] }).remove(0)
+        self.ledger.apply(self.now, CommandBatch { proposer: 1, number: 1, commands: vec![c] }).remove(0)
     }
 
     pub fn submit(&mut self, spec: JobSpec) -> JobNumber {
--- a/crates/worker-stand-in/src/worker_model.rs
+++ b/crates/worker-stand-in/src/worker_model.rs
@@ -315,7 +315,7 @@
             payload: TaskPayload::of(&o.payload),
             job_name: o.job_name,
             phase: Phase::Ordered { begin_at: now + late, token },
-            terms: StartTerms { fence: o.term, lease_until: o.lease_until_ms },
+            terms: StartTerms { fence: o.fence, lease_until: o.lease_until_ms },
         });
         self.advance(now);
     }
--- a/crates/worker-stand-in/src/worker_model_leased.rs
+++ b/crates/worker-stand-in/src/worker_model_leased.rs
@@ -26,9 +26,9 @@
     pub(crate) fn refuses(&mut self, order: &WorkerInput) -> Option<WorkerEffect> {
         let lease = self.lease.as_mut()?;
         let (token, worker, fence) = match order {
-            WorkerInput::Start { token, order } => (*token, &order.worker, order.term),
-            WorkerInput::Stop { token, order } => (*token, &order.worker, order.term),
-            WorkerInput::Hold { token, order } => (*token, &order.worker, order.term),
+            WorkerInput::Start { token, order } => (*token, &order.worker, order.fence),
+            WorkerInput::Stop { token, order } => (*token, &order.worker, order.fence),
+            WorkerInput::Hold { token, order } => (*token, &order.worker, order.fence),
             _ => return None,
         };
         if *worker != self.identity.name {
--- a/crates/worker-stand-in/tests/http.rs
+++ b/crates/worker-stand-in/tests/http.rs
@@ -67,7 +67,7 @@
         estimate_ms: 0,
         gang_by_ms: None,
         attempt: "1.0.0.1".parse().unwrap(),
-        term: 1,
+        fence: 1,
         worker: "w1".into(),
         job_name: "j".into(),
         service: "booking".into(),
--- a/crates/worker-stand-in/tests/judged.rs
+++ b/crates/worker-stand-in/tests/judged.rs
@@ -71,7 +71,7 @@
                     if wrong == Wrong::TriesAgainUnproven {
                         t.out = None;
                     } else {
-                        outbox.push((w, WorkerInput::Stop { token, order: StopOrder { attempt, worker: format!("w{w}"), term: 0 } }));
+                        outbox.push((w, WorkerInput::Stop { token, order: StopOrder { attempt, worker: format!("w{w}"), fence: 0 } }));
                     }
                 }
             } else {
@@ -84,7 +84,7 @@
                     estimate_ms: 0,
                     gang_by_ms: None,
                     attempt: AttemptId { number: t.number, ..attempt },
-                    term: 1,
+                    fence: 1,
                     worker: format!("w{w}"),
                     job_name: "j".into(),
                     service: "booking".into(),
--- a/crates/worker-stand-in/tests/model.rs
+++ b/crates/worker-stand-in/tests/model.rs
@@ -17,7 +17,7 @@
         estimate_ms: 0,
         gang_by_ms: None,
         attempt: attempt(a),
-        term: 1,
+        fence: 1,
         worker: W.into(),
         job_name: "j".into(),
         service: "booking".into(),
@@ -32,7 +32,7 @@
 }
 
 fn stop(token: Token, a: &str) -> WorkerInput {
-    WorkerInput::Stop { token, order: StopOrder { attempt: attempt(a), worker: W.into(), term: 0 } }
+    WorkerInput::Stop { token, order: StopOrder::unsent(attempt(a), W.into()) }
 }
 
 fn hold(token: Token, seen: u64, acknowledged: &[&str]) -> WorkerInput {
