Give leases only while the gateway surely knows which workers are its own

A gateway went on giving leases for six fifths of the longest lease after any word from a leader, also when that word came with no news of its share: one that attaches again and again, and loses the channel each time before the view has come, kept a worker's leases alive for ever, though the log had given the worker to another gateway long before. That one waits a fixed time for leases of others; after it, a worker that it can't reach itself counts as over while it runs on: TWICE.

Change: the time from which a lease may still be given is that of the last word after which the share was known as the log had it (an update, or an echo once caught up).

--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -31,6 +31,8 @@
     pub(crate) view_changed: bool,
     pub(crate) whole: Option<WholeView>,
     pub(crate) caught_up: bool,
+    /// The newest local time at which the share was known as the log had it.
+    pub(crate) share_sure_at: Option<Millis>,
     pub(crate) tell_again: bool,
     pub(crate) want_configuration: bool,
     pub(crate) counters: GatewayCounters,
@@ -70,6 +72,7 @@
             view_changed: false,
             whole: None,
             caught_up: false,
+            share_sure_at: None,
             tell_again: false,
             want_configuration: false,
             counters: GatewayCounters::default(),
@@ -196,7 +199,7 @@
         if self.facts.len() >= self.settings.fact_bound() {
             return;
         }
-        let may_lease = self.session.silence(self.now).is_some_and(|s| s < self.settings.grant_silence());
+        let may_lease = self.share_sure_at.is_some_and(|at| self.now.saturating_sub(at) < self.settings.grant_silence());
         let permit = HoldPermit { now: self.now, step: self.steps, settings: &self.settings, gateway: &self.name, may_lease };
         self.counters.holds_sent += match worker {
             Some(w) => self.share.hold(w, &permit, fx),
--- a/crates/gateway-core/src/gateway_core_session.rs
+++ b/crates/gateway-core/src/gateway_core_session.rs
@@ -19,6 +19,9 @@
                 if let Some((asked_at, first)) = self.session.echo(self.now, stamp, log_time_ms) {
                     // The first echo may be ahead of the news since the last channel; by the second they have come.
                     self.caught_up |= !first;
+                    if self.caught_up {
+                        self.share_sure_at = Some(asked_at);
+                    }
                     if self.caught_up && self.view.number > 0 {
                         self.change_view().whole_at = Some(asked_at);
                     }
@@ -82,6 +85,9 @@
             self.starts.settle_job(j, most);
         }
         self.caught_up |= u.upto > 0;
+        if self.caught_up {
+            self.share_sure_at = self.share_sure_at.max(self.session.bound().map(|b| b.asked_at));
+        }
         self.fold_orders(&mut u);
         self.change_view().fold(&mut u);
         self.send_holds(None, fx);
--- a/crates/gateway-core/src/session.rs
+++ b/crates/gateway-core/src/session.rs
@@ -80,11 +80,6 @@
         self.bound
     }
 
-    /// How long ago an elected scheduler surely held its lease.
-    pub fn silence(&self, now: Millis) -> Option<Millis> {
-        self.bound.map(|b| now.saturating_sub(b.asked_at))
-    }
-
     /// Takes one step of the chart; false when it leads nowhere.
     fn go(&mut self, event: SessionEvent, now: Millis) -> bool {
         let Some(s) = self.state.next(event) else { return false };
--- a/crates/gateway-core/tests/lease_test.rs
+++ b/crates/gateway-core/tests/lease_test.rs
@@ -224,3 +224,23 @@
     let told: Vec<WorkerFacts> = facts(&fx).into_iter().filter(|f| f.reachable == Some(false)).collect();
     assert!(!told.is_empty() && told.iter().all(|f| f.assignment == ASSIGNMENT), "{told:?}");
 }
+
+#[test]
+fn who_attaches_again_and_again_without_news_of_its_share_stops_giving_leases() {
+    let mut t = leased();
+    answer(&mut t, 50_000, &[], &[]);
+    let mut given: Vec<(Millis, Option<Millis>)> = Vec::new();
+    let fx = pass(&mut t, 1_000);
+    assert!(holds(&fx).iter().any(|h| h.lease_until_ms.is_some()));
+    let sure = t.now;
+    while t.now < sure + 20_000 {
+        t.down();
+        t.attach();
+        let clock = 50_000 + t.now;
+        for fx in [answer(&mut t, clock, &[], &[]), t.tick(100)] {
+            given.extend(holds(&fx).iter().map(|h| (clock - 50_000, h.lease_until_ms)));
+        }
+    }
+    let late: Vec<_> = given.iter().filter(|(at, _)| *at > sure + 12_000).collect();
+    assert!(!late.is_empty() && late.iter().all(|(_, lease)| lease.is_none()), "{late:?}");
+}
