Soak a fleet of real processes: signals, restarts and changes in series that overlap

Clients hold one open connection to each gateway and use it until its process is gone, whatever the gateway says of being ready; a request that is broken off while only planned work is near breaks a rule of its own (`request_cut_beside_planned_work`), judged in every fleet run from now on. The small fleet test therefore expects one more rule.

--- a/crates/fleet-emulator/src/child_process.rs
+++ b/crates/fleet-emulator/src/child_process.rs
@@ -96,6 +96,11 @@
         self.settle();
     }
 
+    /// Has it read its settings again.
+    pub fn hup(&self) -> FleetResult<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Stops it where it is.
     pub fn freeze(&mut self) -> FleetResult<()> {
         self.signal(Signal::STOP)?;
--- a/crates/fleet-emulator/src/daemons.rs
+++ b/crates/fleet-emulator/src/daemons.rs
@@ -71,6 +71,11 @@
         self.child(id)?.lock().await.freeze()
     }
 
+    /// SIGHUP.
+    pub async fn hup(&self, id: NodeId) -> FleetResult<()> {
+        self.child(id)?.lock().await.hup()
+    }
+
     /// SIGCONT; a dead one stays dead.
     pub async fn wake(&self, id: NodeId) -> FleetResult<()> {
         let mut c = self.child(id)?.lock().await;
--- a/crates/fleet-emulator/src/fault_event.rs
+++ b/crates/fleet-emulator/src/fault_event.rs
@@ -11,6 +11,8 @@
     Wake,
     /// SIGTERM (SIGKILL if that isn't heard) and started again at once, one after the other.
     Restart,
+    /// SIGHUP: settings are read again.
+    Hup,
     /// Starts what is dead.
     Start,
     /// No byte to or from the others, whoever they are.
@@ -60,11 +62,12 @@
 
 impl FaultKind {
     /// Every word of `what`.
-    pub const WORDS: [&'static str; 18] = [
+    pub const WORDS: [&'static str; 19] = [
         "kill",
         "freeze",
         "wake",
         "restart",
+        "hup",
         "start",
         "cut",
         "cut_one_way",
@@ -81,6 +84,11 @@
         "config_race",
     ];
 
+    /// Whether it is planned work: what a daemon has taken up is finished beside it.
+    pub fn is_planned(&self) -> bool {
+        matches!(self, FaultKind::Restart | FaultKind::Hup | FaultKind::ConfigRace { .. } | FaultKind::DrainWorker | FaultKind::Evacuate)
+    }
+
     /// Its word.
     pub fn word(&self) -> &'static str {
         match self {
@@ -88,6 +96,7 @@
             FaultKind::Freeze => "freeze",
             FaultKind::Wake => "wake",
             FaultKind::Restart => "restart",
+            FaultKind::Hup => "hup",
             FaultKind::Start => "start",
             FaultKind::Cut => "cut",
             FaultKind::CutOneWay { .. } => "cut_one_way",
--- a/crates/fleet-emulator/src/fault_executor.rs
+++ b/crates/fleet-emulator/src/fault_executor.rs
@@ -33,6 +33,7 @@
     rng: ChaCha8Rng,
     orders: u64,
     unreachable: BTreeSet<NodeId>,
+    disturbances: Arc<Disturbances>,
 }
 
 impl<S: StandIns> FaultExecutor<S> {
@@ -47,7 +48,18 @@
         seed: u64,
     ) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        FaultExecutor { layout, links, daemons, observer, desk, stand_ins, rng, orders: 0, unreachable: BTreeSet::new() }
+        FaultExecutor {
+            layout,
+            links,
+            daemons,
+            observer,
+            desk,
+            stand_ins,
+            rng,
+            orders: 0,
+            unreachable: BTreeSet::new(),
+            disturbances: Arc::default(),
+        }
     }
 
     /// Carries one fault out. Answers whom it hit, in words, and how it ends if it does.
@@ -65,6 +77,7 @@
             None => self.layout.nodes.iter().filter(|n| n.role != Role::Observer).map(|n| n.id).collect(),
         };
         let others: BTreeSet<NodeId> = others.difference(&whom).copied().collect();
+        self.disturb(e, &whom);
         let undo = self.carry_out(e, &whom, &others).await?;
         self.note_reach();
         let names: Vec<&str> = whom.iter().map(|&id| self.layout.node(id).name.as_str()).collect();
@@ -72,6 +85,20 @@
         Ok((line, undo.filter(|_| e.for_s.is_some() || matches!(e.kind, FaultKind::WipeDisk | FaultKind::KillAllSchedulers))))
     }
 
+    /// Where it notes whom trouble hits.
+    pub fn disturbances(&self) -> &Arc<Disturbances> {
+        &self.disturbances
+    }
+
+    /// Notes whom trouble hits, and until when.
+    fn disturb(&self, e: &FaultEvent, whom: &BTreeSet<NodeId>) {
+        match e.kind {
+            FaultKind::Heal => self.disturbances.note(self.layout.nodes.iter().map(|n| n.id), 0.0),
+            _ if !e.kind.is_planned() => self.disturbances.note(whom.iter().copied(), e.for_s.unwrap_or(0.0)),
+            _ => {}
+        }
+    }
+
     async fn carry_out(&mut self, e: &FaultEvent, whom: &BTreeSet<NodeId>, others: &BTreeSet<NodeId>) -> FleetResult<Option<Undo>> {
         let (daemons, workers) = self.split(whom);
         Ok(match &e.kind {
@@ -111,6 +138,12 @@
                 self.stand_ins.behave(&workers, &json!({})).await?;
                 None
             }
+            FaultKind::Hup => {
+                for &id in &daemons {
+                    self.daemons.hup(id).await?;
+                }
+                None
+            }
             FaultKind::Start => {
                 for &id in &daemons {
                     self.daemons.start(id).await?;
--- a/crates/fleet-emulator/src/fault_schedule.rs
+++ b/crates/fleet-emulator/src/fault_schedule.rs
@@ -68,6 +68,7 @@
             "freeze" => FaultKind::Freeze,
             "wake" => FaultKind::Wake,
             "restart" => FaultKind::Restart,
+            "hup" => FaultKind::Hup,
             "start" => FaultKind::Start,
             "cut" => FaultKind::Cut,
             "cut_one_way" => match self.get("way").map_or(Some("out"), Value::as_str) {
--- a/crates/fleet-emulator/src/fleet_command.rs
+++ b/crates/fleet-emulator/src/fleet_command.rs
@@ -58,6 +58,8 @@
 /// Exit status of a fleet that could not start or be judged.
 pub const EXIT_NOT_STARTED: u8 = 3;
 
+/// Seconds of load of a soak, where the command line says none.
+const SOAK_S: f64 = 25.0;
 /// First of the second numbers of addresses, and how many there are.
 const NETS: (u8, u32) = (16, 200);
 
@@ -65,8 +67,11 @@
     let mut o = Options::new();
     o.optopt("", "scenario", "faults of a named scenario; see `fleet scenarios`", "NAME");
     o.optopt("", "faults", "faults from a JSON file", "FILE");
+    o.optflag("", "soak", "signals, restarts, cuts and changes in series that overlap, drawn from the seed");
     o.optopt("", "for", "seconds of load (default: the scenario's, else 30)", "SECONDS");
     o.optopt("", "seed", "all chance of the load and the faults comes from it (default 1)", "N");
+    o.optopt("", "schedulers", "so many schedulers instead of the deployment's", "N");
+    o.optopt("", "gateways", "so many gateways instead of the deployment's", "N");
     o.optopt("", "rate", "times the deployment's usual rate (default 1)", "F");
     o.optopt("", "report", "the report as JSON", "FILE");
     o.optopt("", "folder", "keep the run's files here (default: a folder of its own that is removed)", "DIR");
@@ -136,8 +141,15 @@
 }
 
 fn read_run(deployment: &str, m: &getopts::Matches) -> FleetResult<RunOptions> {
-    let deployment = Deployment::named(deployment)?;
+    let mut deployment = Deployment::named(deployment)?;
+    deployment.schedulers = value(m, "schedulers", deployment.schedulers)?.max(1);
+    deployment.gateways = value(m, "gateways", deployment.gateways)?.max(1);
     let (scenario, figure, seconds, faults) = match (m.opt_str("scenario"), m.opt_str("faults")) {
+        (None, None) if m.opt_present("soak") => {
+            let seconds = value(m, "for", SOAK_S)?;
+            ("soak".to_owned(), None, seconds, soak_schedule(value(m, "seed", 1)?, &deployment, seconds))
+        }
+        _ if m.opt_present("soak") => return Err(wrong("--soak draws its own faults")),
         (Some(_), Some(_)) => return Err(wrong("--scenario and --faults can't go together")),
         (Some(name), None) => {
             let s = Scenario::named(&name)?;
--- a/crates/fleet-emulator/src/fleet_run.rs
+++ b/crates/fleet-emulator/src/fleet_run.rs
@@ -14,6 +14,8 @@
 const READS_EACH: usize = 2;
 /// The fleet's own rule: no daemon ends unless the fleet ends it.
 pub const DAEMON_ENDED: &str = "daemon_ended_by_itself";
+/// Another: what a gateway has taken up is answered beside planned work.
+pub const REQUEST_CUT: &str = "request_cut_beside_planned_work";
 
 /// One run of a fleet: everything it started is ended when this is dropped.
 pub struct FleetRun {
@@ -26,6 +28,8 @@
     folder: PathBuf,
     tree: Value,
     ended: Vec<String>,
+    /// Requests that were broken off beside planned work.
+    cut: Vec<String>,
     faults: Vec<(f64, String)>,
 }
 
@@ -58,6 +62,7 @@
             desk: Arc::new(OrderDesk::new(&layout, options.load.seed)),
             tree: first_tree(&layout.deployment)?,
             ended: Vec::new(),
+            cut: Vec::new(),
             faults: Vec::new(),
             folder,
             options,
@@ -158,6 +163,7 @@
             stand_ins.clone(),
             self.options.load.seed,
         );
+        let connections = OpenConnections::start(&self.layout, executor.disturbances());
         let begin = Instant::now();
         let end = begin + Duration::from_secs_f64(self.options.seconds);
         let at = |s: f64| begin + Duration::from_secs_f64(s);
@@ -193,6 +199,9 @@
                 self.faults.push((s, line));
             }
         }
+        let (cut, answered) = connections.finish();
+        say(&format!("{answered} requests answered on kept connections, {} broken off beside planned work", cut.len()));
+        self.cut = cut;
         // Whatever was to end later ends now: the rest is about what is left.
         while let Some((_, d)) = due.pop() {
             if let Due::End(u) = d {
@@ -306,8 +315,10 @@
         let f = v.figures;
         let mut violations: BTreeMap<String, u64> = v.violations.iter().map(|(k, n)| ((*k).to_owned(), *n)).collect();
         violations.insert(DAEMON_ENDED.to_owned(), self.ended.len() as u64);
+        violations.insert(REQUEST_CUT.to_owned(), self.cut.len() as u64);
         let mut findings: Vec<String> = v.examples.iter().map(|x| format!("{} at {}: {}", x.rule, x.at, x.what)).collect();
         findings.extend(self.ended.iter().map(|e| format!("{DAEMON_ENDED}: {e}")));
+        findings.extend(self.cut.iter().map(|c| format!("{REQUEST_CUT}: {c}")));
         let mut unjudged = Vec::new();
         for (n, what) in [
             (f.runs_of_unknown_jobs, "runs of jobs that no caller sent"),
--- a/crates/fleet-emulator/tests/schedule_test.rs
+++ b/crates/fleet-emulator/tests/schedule_test.rs
@@ -129,3 +129,16 @@
     }
     assert!(Scenario::named("leader-kiled").unwrap_err().to_string().contains("leader-killed"));
 }
+
+#[test]
+fn a_soak_is_drawn_from_its_seed_and_leaves_a_calm_end() {
+    let d = Deployment::named("thaali").unwrap();
+    let all: Vec<FaultSchedule> = (0..50).map(|seed| soak_schedule(seed, &d, 25.0)).collect();
+    assert!(all.iter().all(|s| s.events.len() >= 7 && s.ends_s() <= 21.0));
+    let words: BTreeSet<&str> = all.iter().flat_map(|s| &s.events).map(|e| e.kind.word()).collect();
+    for word in ["restart", "hup", "kill", "freeze", "cut", "cut_one_way", "reset_links", "config_race", "cold_worker", "drain_worker"] {
+        assert!(words.contains(word), "{word}");
+    }
+    assert!(all.iter().all(|s| s.events.iter().any(|e| e.whom.is_some() || matches!(e.kind, FaultKind::ConfigRace { .. }))));
+    assert_ne!(all[0], all[1]);
+}
--- a/crates/fleet-emulator/tests/small_fleet_test.rs
+++ b/crates/fleet-emulator/tests/small_fleet_test.rs
@@ -64,7 +64,11 @@
     let timed: Vec<&str> = TIMED.iter().map(|r| r.name()).collect();
     let broken: Vec<_> = r.violations.iter().filter(|(rule, n)| **n > 0 && !timed.contains(&rule.as_str())).collect();
     assert!(broken.is_empty(), "{broken:?}\n{}", r.findings.join("\n"));
-    assert_eq!(r.violations.len(), Rule::ALL.len() + 1, "every rule is judged, and that no daemon ended by itself");
+    assert_eq!(
+        r.violations.len(),
+        Rule::ALL.len() + 2,
+        "every rule is judged, that no daemon ended by itself, and that no request was cut"
+    );
     assert!(r.jobs_finished > 0, "{r}");
     assert_eq!(r.daemons.values().filter(|d| d.starts == 2).count(), 1, "one daemon was killed and started again");
     fs::remove_dir_all(folder()).unwrap();
