Tell anew what a worker says when it is held under another assignment

A gateway that lost a worker and got it back without seeing that in between kept what it had told of it (draining, what runs there) as told, though the log may have passed it over as told under a former assignment: the worker's wish to drain would be lost. Now such a worker is forgotten and learned anew, as one that was seen to leave and come back.

--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -137,6 +137,10 @@
         let assignment = if mine { w.assignment } else { 0 };
         let taken_over = mine && (!self.mine || assignment != self.assignment);
         self.assignment = assignment;
+        if taken_over && self.mine {
+            // It was elsewhere meanwhile, and what was told of it then may have been passed over.
+            self.forget();
+        }
         if taken_over {
             self.next_at = now;
             self.errors = 0;
--- a/crates/gateway-core/tests/hold_test.rs
+++ b/crates/gateway-core/tests/hold_test.rs
@@ -164,3 +164,18 @@
     let f = told(&mut t, list("b2", 2, &[id(1)], &[]));
     assert_eq!((f[0].boot_id.as_str(), f[0].started[..].to_vec()), ("b2", vec![id(1)]));
 }
+
+#[test]
+fn what_a_worker_says_of_draining_is_told_again_under_another_assignment() {
+    let mut t = Stand::attached();
+    let draining =
+        |change| Reply::Answer(HoldAnswer { worker: W.into(), boot_id: "b1".into(), change, draining: true, ..HoldAnswer::default() });
+    t.held(draining(1));
+    let told = t.facts();
+    assert!(told.iter().all(|f| f.assignment == ASSIGNMENT));
+    t.update(|u| u.workers = vec![WorkerSummary { assignment: ASSIGNMENT + 2, ..worker(W, "b1", Some(ME)) }]);
+    let mut fx = t.tick(1_000);
+    fx.extend(t.held(draining(2)));
+    fx.extend(t.tick(1_000));
+    assert!(facts(&fx).iter().any(|f| f.draining == Some(true) && f.assignment == ASSIGNMENT + 2), "{fx:?}");
+}
