--- a/crates/fleet-simulator/src/plant.rs
+++ b/crates/fleet-simulator/src/plant.rs
@@ -15,6 +15,8 @@
     StopForgotten,
     /// A scheduler whose disk was lost comes back under its old id.
     OldSelf,
+    /// A scheduler believes whatever a gateway tells of a worker, also one that doesn't hold it any more.
+    FormerHolderBelieved,
 }
 
 impl Plant {
@@ -26,17 +28,22 @@
         (Plant::AbandonedArrives, &[Rule::StartOnDrainingWorker, Rule::StartInEvacuatedZone, Rule::StartAfterCancel]),
         (Plant::StopForgotten, &[Rule::TaskRanTwiceAtOnce, Rule::TaskStartedAfterSuccess, Rule::StartAfterCancel]),
         (Plant::OldSelf, &[Rule::AcknowledgedLost, Rule::JobDisappeared]),
+        (Plant::FormerHolderBelieved, &[Rule::TaskRanTwiceAtOnce, Rule::RoomExceeded]),
     ];
 
     /// A run in which it should show.
     pub fn settings(self, seed: u64) -> SimulationSettings {
-        let mut s = SimulationSettings::new(seed);
+        let mut s = match self {
+            Plant::FormerHolderBelieved => SimulationSettings::leased_chaos(seed, 0),
+            _ => SimulationSettings::new(seed),
+        };
         s.outage_ms = s.load_ms;
         s.plant = Some(self);
         if self == Plant::LeaveByIgnored {
             s.operators.drain_every_ms = 500;
         }
         s.faults = match self {
+            Plant::FormerHolderBelieved => return s,
             Plant::AckBeforeSync => (0..s.schedulers)
                 .map(|scheduler| (2_000, Fault::SlowDisk { scheduler, sync_ms: 400, for_ms: s.load_ms }))
                 .chain([(15_000, Fault::PowerLoss { for_ms: 500 }), (25_000, Fault::PowerLoss { for_ms: 500 })])
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -307,7 +307,10 @@
             return;
         }
         match *direction {
-            Direction::Up(f) if open.1 && self.schedulers[s.0].machine.epoch == s.1 => {
+            Direction::Up(mut f) if open.1 && self.schedulers[s.0].machine.epoch == s.1 => {
+                if self.settings.plant == Some(Plant::FormerHolderBelieved) {
+                    self.believe(s.0, &mut f);
+                }
                 self.scheduler(s.0, SchedulerInput::Gateway(channel, Box::new(f)))
             }
             Direction::Down(frame) if open.0 && self.gateways[g.0].machine.epoch == g.1 => {
@@ -317,6 +320,15 @@
         }
     }
 
+    /// Planted: facts count as if their teller held the workers.
+    fn believe(&self, scheduler: usize, frame: &mut GatewayFrame) {
+        let GatewayFrame::Facts { facts, .. } = frame else { return };
+        let Some(core) = self.schedulers[scheduler].core.as_ref() else { return };
+        for f in facts {
+            f.assignment = core.state().worker(&f.worker).map_or(f.assignment, |w| w.1.assignment);
+        }
+    }
+
     /// One side closes a channel; the other learns of it if the way there is open.
     pub(crate) fn close_channel(&mut self, channel: u64, by_gateway: bool) {
         let Some(c) = self.channels.get_mut(&channel) else { return };
--- a/crates/fleet-simulator/tests/planted_faults.rs
+++ b/crates/fleet-simulator/tests/planted_faults.rs
@@ -41,3 +41,8 @@
 fn a_lost_disk_that_returns_as_its_old_self_shows() {
     shows(Plant::OldSelf);
 }
+
+#[test]
+fn a_former_holder_that_is_believed_shows() {
+    shows(Plant::FormerHolderBelieved);
+}
