--- a/crates/fleet-emulator/src/deployment.rs
+++ b/crates/fleet-emulator/src/deployment.rs
@@ -34,6 +34,8 @@
     pub kinds: Vec<WorkerKind>,
     /// Queues of the operators.
     pub queues: u32,
+    /// Whether workers run work only while their lease lasts.
+    pub leased: bool,
 }
 
 /// Builds names `prefix1`, `prefix2` and so on.
@@ -67,6 +69,7 @@
             service: "booking".into(),
             kinds,
             queues: 3,
+            leased: false,
         };
         match name {
             "thaali" => Ok(thaali),
--- a/crates/fleet-emulator/src/fleet_command.rs
+++ b/crates/fleet-emulator/src/fleet_command.rs
@@ -67,6 +67,7 @@
     let mut o = Options::new();
     o.optopt("", "scenario", "faults of a named scenario; see `fleet scenarios`", "NAME");
     o.optopt("", "faults", "faults from a JSON file", "FILE");
+    o.optflag("", "leased", "workers run work only while their lease lasts");
     o.optflag("", "soak", "signals, restarts, cuts and changes in series that overlap, drawn from the seed");
     o.optopt("", "for", "seconds of load (default: the scenario's, else 30)", "SECONDS");
     o.optopt("", "seed", "all chance of the load and the faults comes from it (default 1)", "N");
@@ -143,6 +144,7 @@
 fn read_run(deployment: &str, m: &getopts::Matches) -> FleetResult<RunOptions> {
     let mut deployment = Deployment::named(deployment)?;
     deployment.schedulers = value(m, "schedulers", deployment.schedulers)?.max(1);
+    deployment.leased = m.opt_present("leased");
     deployment.gateways = value(m, "gateways", deployment.gateways)?.max(1);
     let (scenario, figure, seconds, faults) = match (m.opt_str("scenario"), m.opt_str("faults")) {
         (None, None) if m.opt_present("soak") => {
--- a/crates/fleet-emulator/src/layout.rs
+++ b/crates/fleet-emulator/src/layout.rs
@@ -32,6 +32,9 @@
     pub nodes: Vec<Node>,
 }
 
+/// The longest lease that stand-in workers take.
+const LEASE_MOST_MS: Millis = 10_000;
+
 impl Layout {
     /// Lays a deployment out. Machines go round the zones, so that no zone holds a quorum of schedulers by itself
     /// where there are enough zones; racks follow each other zone by zone.
@@ -114,6 +117,9 @@
             "region": node.region,
             "seeds": seeds,
         });
+        if node.role == Role::Gateway && self.deployment.leased {
+            v["lease_most_ms"] = json!(LEASE_MOST_MS);
+        }
         if node.role == Role::Scheduler {
             v["data_folder"] = json!(folder.join("data").to_string_lossy());
             v["founders"] = json!(schedulers.iter().map(|n| n.advertised_internal().to_string()).collect::<Vec<_>>());
--- a/crates/fleet-emulator/src/soak_schedule.rs
+++ b/crates/fleet-emulator/src/soak_schedule.rs
@@ -27,7 +27,11 @@
     let last = (seconds - CALM_S).max(FROM_S + 1.0);
     let mut events = Vec::new();
     for _ in 0..rng.random_range(SERIES) {
-        let kind = SoakKind::ALL[rng.random_range(0..SoakKind::ALL.len())];
+        let kind = match SoakKind::ALL[rng.random_range(0..SoakKind::ALL.len())] {
+            // Each life of such a worker has a name of its own, which faults don't know.
+            SoakKind::ColdWorkers if deployment.leased => SoakKind::CutWorkers,
+            kind => kind,
+        };
         let mut at_s = rng.random_range(FROM_S..last);
         for _ in 0..rng.random_range(LENGTH) {
             events.extend(kind.event(at_s, last, deployment, &mut rng));
--- a/crates/fleet-emulator/src/stand_in_processes.rs
+++ b/crates/fleet-emulator/src/stand_in_processes.rs
@@ -155,6 +155,7 @@
         "zone": n.zone,
         "cpu_millis": d.cpu_millis,
         "memory_mb": d.memory_mb,
+        "leased": d.leased,
     })
 }
 
