--- a/crates/worker-stand-in/src/lib.rs
+++ b/crates/worker-stand-in/src/lib.rs
@@ -22,6 +22,7 @@
 mod worker_input;
 mod worker_model;
 mod worker_model_leased;
+mod worker_model_orders;
 mod worker_server;
 
 pub use prelude::*;
