Let the clocks of simulated workers with leases run up to two hundredths slow

The platform allows a worker's clock to run 2 % slow, and leases are reckoned with that; the simulator's clocks all ran true.

--- a/crates/worker-stand-in/src/run_lease.rs
+++ b/crates/worker-stand-in/src/run_lease.rs
@@ -6,12 +6,8 @@
 const LEASE_MOST_MS: Millis = 10_000;
 /// A clock that runs as fast as true time, in hundredths.
 const TRUE_RATE: u64 = 100;
-
-impl Default for RunLease {
-    fn default() -> Self {
-        Self::new(0, TRUE_RATE)
-    }
-}
+/// The slowest clock.
+const SLOWEST_RATE: u64 = 98;
 
 /// The lease and the fence of a worker that runs work only as long as its gateway wants it to.
 ///
@@ -43,6 +39,11 @@
         self.clock_rate
     }
 
+    /// One whose clock runs up to 2 % slow, as the seed says.
+    pub fn drawn(seed: u64) -> Self {
+        Self::new(0, SLOWEST_RATE + seed % (TRUE_RATE - SLOWEST_RATE + 1))
+    }
+
     /// A worker that has just booted.
     pub fn new(now: Millis, clock_rate: u64) -> Self {
         RunLease { booted_at: now, clock_rate, until: 0, fence: 0, ended: 0, unsure_until: 0, over: BTreeMap::new() }
--- a/crates/worker-stand-in/src/worker_model.rs
+++ b/crates/worker-stand-in/src/worker_model.rs
@@ -43,7 +43,7 @@
     /// A worker that has just booted.
     pub fn new(identity: RegisterWorker, behaviour: Behaviour, seed: u64) -> Self {
         WorkerModel {
-            lease: identity.leased.then(RunLease::default),
+            lease: identity.leased.then(|| RunLease::drawn(seed)),
             identity,
             behaviour,
             rng: ChaCha8Rng::seed_from_u64(seed),
