Give the daemon test's worker the assignment that its start order names

The test was wrong, not the gateway: the order's assignment and the worker's come from one log, and agree. No assertion changed.

--- a/crates/gateway/tests/daemon_test.rs
+++ b/crates/gateway/tests/daemon_test.rs
@@ -45,6 +45,7 @@
         memory_mb: 1,
         gateway: Some("g1".into()),
         reachable: true,
+        assignment: 1,
         ..WorkerSummary::default()
     }
 }
