Show queue lengths and ages, whole views and dropped commands as metrics

Neither the leader nor a gateway showed how long a command, a report or a stop waits, how often a view was sent whole though its gateway had one, or that a command without a caller was dropped.

Commands in the inbox and open reports are types of their own now instead of tuples. No decision changes.

Tests of scheduler-core and gateway-core pass.

--- a/crates/gateway-core/src/fact_book.rs
+++ b/crates/gateway-core/src/fact_book.rs
@@ -22,11 +22,20 @@
     pub assignment: u64,
 }
 
+/// A report that isn't in the log yet.
+#[derive(Clone, Debug)]
+struct ToldReport {
+    /// How many facts it held when it was made.
+    size: usize,
+    facts: Vec<WorkerFacts>,
+    since: Millis,
+}
+
 /// Facts on their way into the log: gathered, numbered, told again until they are done.
 #[derive(Clone, Debug, Default)]
 pub struct FactBook {
     next: BTreeMap<FactSource, FactLine>,
-    told: BTreeMap<u64, (usize, Vec<WorkerFacts>)>,
+    told: BTreeMap<u64, ToldReport>,
     reports: u64,
     facts_told: usize,
     told_at: Option<Millis>,
@@ -43,6 +52,11 @@
         self.facts_told + self.gathered()
     }
 
+    /// Since when the oldest report isn't done.
+    pub fn oldest(&self) -> Option<Millis> {
+        self.told.values().map(|told| told.since).next()
+    }
+
     /// Whether all are done.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -72,21 +86,21 @@
         }
         self.reports += 1;
         self.facts_told += size;
-        self.told.insert(self.reports, (size, facts.clone()));
+        self.told.insert(self.reports, ToldReport { size, facts: facts.clone(), since: now });
         Some(GatewayFrame::Facts { report: self.reports, facts })
     }
 
     /// All reports that are not done, for a new channel; only what still counts of them.
     pub fn again(&self, share: &WorkerShare) -> Vec<GatewayFrame> {
         let again = |facts: &[WorkerFacts]| facts.iter().filter_map(|f| worth(f, share)).collect();
-        self.told.iter().map(|(&report, (_, facts))| GatewayFrame::Facts { report, facts: again(facts) }).collect()
+        self.told.iter().map(|(&report, told)| GatewayFrame::Facts { report, facts: again(&told.facts) }).collect()
     }
 
     /// All reports up to this one are in the log: their facts.
     pub fn done(&mut self, report: u64) -> Vec<WorkerFacts> {
         let later = self.told.split_off(&report.saturating_add(1));
         let done = std::mem::replace(&mut self.told, later);
-        self.facts_told -= done.values().map(|(n, _)| n).sum::<usize>();
-        done.into_values().flat_map(|(_, f)| f).collect()
+        self.facts_told -= done.values().map(|told| told.size).sum::<usize>();
+        done.into_values().flat_map(|told| told.facts).collect()
     }
 }
--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -94,14 +94,18 @@
         self.session.state()
     }
 
-    /// Sizes for gauges: asks waiting, facts not done, starts remembered, stops open, workers held.
-    pub fn sizes(&self) -> [(&'static str, usize); 5] {
+    /// Sizes and ages for gauges: asks waiting, facts not done, starts remembered, stops open, workers held; ages in ms of the
+    /// oldest report and of the oldest stop.
+    pub fn sizes(&self) -> [(&'static str, usize); 7] {
+        let age = |since: Option<Millis>| since.map_or(0, |since| self.now.saturating_sub(since)) as usize;
         [
             ("gateway_asks_waiting", self.asks.len()),
             ("gateway_facts_open", self.facts.len()),
             ("gateway_starts_known", self.starts.len()),
             ("gateway_stops_open", self.stops.len()),
             ("gateway_workers_held", self.share.len()),
+            ("gateway_report_age_ms", age(self.facts.oldest())),
+            ("gateway_stop_age_ms", age(self.stops.oldest())),
         ]
     }
 
--- a/crates/gateway-core/src/stop_book.rs
+++ b/crates/gateway-core/src/stop_book.rs
@@ -4,6 +4,7 @@
 #[derive(Clone, Debug)]
 struct OpenStop {
     worker: Name,
+    since: Millis,
     out: bool,
     sent_step: u64,
     next_at: Millis,
@@ -24,6 +25,11 @@
         self.open.len()
     }
 
+    /// Since when the oldest has no answer.
+    pub fn oldest(&self) -> Option<Millis> {
+        self.open.values().map(|stop| stop.since).min()
+    }
+
     /// Whether all have one.
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
@@ -36,7 +42,7 @@
 
     /// Takes an order over.
     pub fn give(&mut self, now: Millis, order: StopOrder) {
-        let new = OpenStop { worker: order.worker, out: false, sent_step: 0, next_at: now, tries: 0, accepted: None };
+        let new = OpenStop { worker: order.worker, since: now, out: false, sent_step: 0, next_at: now, tries: 0, accepted: None };
         self.open.entry(order.attempt).or_insert(new);
     }
 
--- a/crates/scheduler-core/src/gateway_session.rs
+++ b/crates/scheduler-core/src/gateway_session.rs
@@ -1,5 +1,16 @@
 use crate::prelude::*;
 
+/// A report of facts that isn't in the log yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenReport {
+    /// The batch with the last of its facts.
+    pub batch: u64,
+    /// Its number.
+    pub report: u64,
+    /// When it came.
+    pub since: Millis,
+}
+
 /// A gateway's channel to the elected scheduler.
 #[derive(Clone, Debug)]
 pub struct GatewaySession {
@@ -19,8 +30,8 @@
     pub heard_at: Millis,
     /// When it was last sent news.
     pub flushed_at: Millis,
-    /// Reports not yet in the log: number by batch.
-    pub reports: VecDeque<(u64, u64)>,
+    /// Reports not yet in the log.
+    pub reports: VecDeque<OpenReport>,
     /// The newest report in an inbox or in the log.
     pub reported: u64,
 }
--- a/crates/scheduler-core/src/journal.rs
+++ b/crates/scheduler-core/src/journal.rs
@@ -25,6 +25,16 @@
         Journal { next, most, events: VecDeque::new() }
     }
 
+    /// How many events are kept.
+    pub fn len(&self) -> usize {
+        self.events.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.events.is_empty()
+    }
+
     /// Number of the next event.
     pub fn next(&self) -> u64 {
         self.next
--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -23,6 +23,8 @@
 mod peer_frame;
 mod planning;
 mod queries;
+mod queue_gauges;
+mod queued_command;
 mod ready_index;
 mod scheduler;
 mod scheduler_input;
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -43,7 +43,7 @@
 pub use crate::cluster_state::{Bands, ClusterState, StateError, Use};
 pub use crate::command::{Command, CommandBatch};
 pub use crate::event::Event;
-pub use crate::gateway_session::{Flush, GatewaySession};
+pub use crate::gateway_session::{Flush, GatewaySession, OpenReport};
 pub use crate::halt_reason::HaltReason;
 pub use crate::job::{Job, Occurrence, Step, Task, job_digest};
 pub use crate::journal::Journal;
@@ -55,6 +55,8 @@
 };
 pub(crate) use crate::planning::{SLOW_RATIO, is_sound};
 pub(crate) use crate::queries::patch_of;
+pub use crate::queue_gauges::QueueGauges;
+pub use crate::queued_command::QueuedCommand;
 pub use crate::ready_index::{ReadyGroup, ReadyIndex, ReadyStep};
 pub use crate::scheduler::{Scheduler, SchedulerCounters, Waiter};
 pub use crate::scheduler_input::{ChannelId, OWN_PROCESS, SchedulerEffect, SchedulerInput};
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -12,8 +12,8 @@
     pub(crate) replica: Replica<ChaCha8Rng>,
     pub(crate) ledger: Ledger,
     pub(crate) sessions: BTreeMap<ChannelId, GatewaySession>,
-    /// Commands to propose, each with who waits for it, and until when.
-    pub(crate) inbox: VecDeque<(Command, Waiter, Millis)>,
+    /// Commands to propose.
+    pub(crate) inbox: VecDeque<QueuedCommand>,
     pub(crate) flights: BTreeMap<u64, BatchInLog>,
     pub(crate) batch: u64,
     /// Since when each live gateway of the log was heard by this leader.
@@ -59,6 +59,14 @@
     pub preempted: u64,
     /// Updates sent to gateways.
     pub updates: u64,
+    /// Whole views sent to gateways that named no view.
+    pub first_views: u64,
+    /// Whole views sent to gateways whose view the journal doesn't reach back to.
+    pub overtaken_views: u64,
+    /// Batches that the log did not take.
+    pub batches_shed: u64,
+    /// Commands without a caller that were dropped.
+    pub commands_dropped: u64,
     /// Peers' frames that could not be read.
     pub malformed: u64,
     /// Membership changes proposed by repair.
@@ -245,10 +253,8 @@
         }
         for (c, s) in &mut self.sessions {
             let mut done = None;
-            while let Some(&(b, report)) = s.reports.front().filter(|r| r.0 <= number) {
-                debug_assert!(b <= number);
-                done = Some(report);
-                s.reports.pop_front();
+            while let Some(open) = s.reports.pop_front_if(|open| open.batch <= number) {
+                done = Some(open.report);
             }
             if let Some(report) = done {
                 self.effects.push(SchedulerEffect::Gateway(*c, Box::new(SchedulerFrame::FactsDone { report })));
@@ -284,7 +290,7 @@
             self.answer(w, Err(CallError::TimeBudgetSpent { retry_after_ms: hint }));
         }
         let inbox = std::mem::take(&mut self.inbox);
-        for w in inbox.iter().filter_map(|i| own(&i.1)) {
+        for w in inbox.iter().filter_map(|queued| own(&queued.waiter)) {
             self.answer(w, Err(CallError::NoLeader { retry_after_ms: hint }));
         }
     }
@@ -326,7 +332,7 @@
                         self.answer(w, Ok(AnswerBody::ExplainJob(explained)));
                     }
                     CallDecision::Answer(a) => self.answer(w, a),
-                    CallDecision::Propose(c) => self.propose(c, Some(w), until),
+                    CallDecision::Propose(c) => self.propose(now, c, Some(w), until),
                     CallDecision::Member(id, change) => self.change_member(now, w, id, change),
                     CallDecision::Transfer(id) => self.transfer(now, w, id),
                 }
@@ -346,7 +352,7 @@
         let carried = self.ledger.state.tables.unix_at_zero_ms.map(|z| z + log_time_ms);
         let wall_ms = carried.map_or(quorum, |c| quorum.min(c.max(self.replica.wall_clock_of_all(now).unwrap_or(0))));
         if carried.is_none_or(|c| c.abs_diff(wall_ms) > self.settings.hold_interval_ms / WALL_PART) {
-            self.propose(Command::WallClock { wall_ms, log_time_ms }, None, Millis::MAX);
+            self.propose(now, Command::WallClock { wall_ms, log_time_ms }, None, Millis::MAX);
         }
         Some(wall_ms)
     }
@@ -357,7 +363,7 @@
         if !self.is_serving(now) {
             return;
         }
-        self.put_rules(0);
+        self.put_rules(now, 0);
         let silent: Vec<(Name, u64)> = self
             .heard
             .iter()
@@ -366,17 +372,17 @@
             .collect();
         for (name, instance) in silent {
             self.heard.remove(&name);
-            self.propose(Command::GatewayLost { name, instance }, None, Millis::MAX);
+            self.propose(now, Command::GatewayLost { name, instance }, None, Millis::MAX);
         }
         if self.inbox.is_empty() && self.flights.is_empty() && self.ledger.has_due(self.replica.log_time(now)) {
-            self.propose(Command::Advance, None, Millis::MAX);
+            self.propose(now, Command::Advance, None, Millis::MAX);
         }
         self.repair(now);
     }
 
     /// Puts the rules of this leader's settings in the log, when they are others. A scheduler without a word on how many
     /// should vote leaves that as it is.
-    pub(crate) fn put_rules(&mut self, more_voters: u64) {
+    pub(crate) fn put_rules(&mut self, now: Millis, more_voters: u64) {
         let rules = &self.ledger.state.tables.rules;
         let hold_interval_ms = self.settings.hold_interval_ms;
         let stated = self.settings.stated_voters().filter(|_| rules.voters == 0 || self.settings.most_voters == 0);
@@ -385,7 +391,7 @@
         let told = (rules.hold_interval_ms, rules.voters, rules.gang_time_budget_ms, rules.first_class_ms);
         let known = told == (hold_interval_ms, voters, gang_wait_ms, first_class_ms);
         if !known && self.flights.is_empty() && self.inbox.is_empty() {
-            self.propose(Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms }, None, Millis::MAX);
+            self.propose(now, Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms }, None, Millis::MAX);
         }
     }
 
--- a/crates/scheduler-core/src/scheduler_members.rs
+++ b/crates/scheduler-core/src/scheduler_members.rs
@@ -152,7 +152,7 @@
             self.member_since.entry(id).or_insert(now);
         }
         if self.may_grow(now) {
-            self.put_rules(VOTERS_MORE);
+            self.put_rules(now, VOTERS_MORE);
             return;
         }
         if let Some(change) = self.next_repair(now) {
--- a/crates/scheduler-core/src/scheduler_rounds.rs
+++ b/crates/scheduler-core/src/scheduler_rounds.rs
@@ -27,25 +27,30 @@
             }
             _ => CallError::NoLeader { retry_after_ms: hint },
         };
+        self.counters.batches_shed += 1;
+        self.counters.commands_dropped += f.waiters.iter().filter(|waiter| waiter.is_none()).count() as u64;
         for w in f.waiters.into_iter().flatten() {
             self.answer(w, Err(error.clone()));
         }
         for s in self.sessions.values_mut() {
             // The gateway tells its facts again when it attaches again.
-            s.reports.retain(|r| r.0 != token);
+            s.reports.retain(|open| open.batch != token);
         }
     }
 
     /// Puts a command in the inbox.
-    pub(crate) fn propose(&mut self, c: Command, w: Waiter, until: Millis) {
+    pub(crate) fn propose(&mut self, now: Millis, command: Command, waiter: Waiter, until: Millis) {
         if self.inbox.len() >= INBOX_COMMANDS {
-            if let Some(w) = w {
-                let retry_after_ms = self.settings.hold_interval_ms;
-                self.answer(w, Err(CallError::Shed { limit: "scheduler's inbox".to_owned(), retry_after_ms }));
+            match waiter {
+                Some(w) => {
+                    let retry_after_ms = self.settings.hold_interval_ms;
+                    self.answer(w, Err(CallError::Shed { limit: "scheduler's inbox".to_owned(), retry_after_ms }));
+                }
+                None => self.counters.commands_dropped += 1,
             }
             return;
         }
-        self.inbox.push_back((c, w, until));
+        self.inbox.push_back(QueuedCommand { command, waiter, until, since: now });
     }
 
     /// What follows from a changed state, after each input.
@@ -67,7 +72,7 @@
     pub(crate) fn plan(&mut self, now: Millis) {
         let idle = self.settings.hold_interval_ms / IDLE_ROUNDS_A_HOLD;
         let due = self.dirty || now >= self.planned_at + idle;
-        let busy = self.flights.values().any(|f| f.starts) || self.inbox.iter().any(|c| matches!(c.0, Command::Start { .. }));
+        let busy = self.flights.values().any(|f| f.starts) || self.inbox.iter().any(|c| matches!(c.command, Command::Start { .. }));
         if !due || busy || self.ledger.state.ready.is_empty() {
             return;
         }
@@ -82,11 +87,11 @@
         let PlannedRound { starts, victims, .. } = round;
         if !victims.is_empty() {
             self.counters.preempted += victims.len() as u64;
-            self.inbox.push_back((Command::Preempt(victims), None, Millis::MAX));
+            self.inbox.push_back(QueuedCommand::own(Command::Preempt(victims), now));
         }
         for (starts, gang) in starts {
             self.counters.planned += starts.len() as u64;
-            self.inbox.push_back((Command::Start { starts, gang }, None, Millis::MAX));
+            self.inbox.push_back(QueuedCommand::own(Command::Start { starts, gang }, now));
         }
     }
 
@@ -98,15 +103,15 @@
         let mut flight = BatchInLog::default();
         let mut commands = Vec::with_capacity(n);
         let first: Vec<_> = self.inbox.drain(..n).collect();
-        for (c, w, until) in first {
-            if let Some(w) = w.filter(|_| now >= until) {
+        for QueuedCommand { command, waiter, until, .. } in first {
+            if let Some(w) = waiter.filter(|_| now >= until) {
                 // Its caller has gone: nothing of it is in the log.
                 self.answer(w, Err(CallError::TimeBudgetSpent { retry_after_ms: self.settings.hold_interval_ms }));
                 continue;
             }
-            flight.starts |= matches!(c, Command::Start { .. });
-            commands.push(c);
-            flight.waiters.push(w);
+            flight.starts |= matches!(command, Command::Start { .. });
+            commands.push(command);
+            flight.waiters.push(waiter);
         }
         let batch = CommandBatch { proposer: self.replica.id(), number: self.batch, commands };
         self.flights.insert(self.batch, flight);
--- a/crates/scheduler-core/src/scheduler_sessions.rs
+++ b/crates/scheduler-core/src/scheduler_sessions.rs
@@ -60,7 +60,7 @@
             self.send_gateway(c, attached);
             if self.ledger.state.tables.gateways.get(&name) != Some(&record) {
                 let GatewayRecord { instance, zone, http_address, .. } = record;
-                self.propose(Command::GatewayAttached { name, instance, zone, http_address }, None, Millis::MAX);
+                self.propose(now, Command::GatewayAttached { name, instance, zone, http_address }, None, Millis::MAX);
             }
             return;
         }
@@ -90,8 +90,8 @@
                 if self.ledger.state.tables.gateways.get(&name) != Some(&record) {
                     let GatewayRecord { instance, zone, http_address, .. } = record;
                     let again = Command::GatewayAttached { name, instance, zone, http_address };
-                    if !self.inbox.iter().any(|i| i.0 == again) {
-                        self.propose(again, None, Millis::MAX);
+                    if !self.inbox.iter().any(|i| i.command == again) {
+                        self.propose(now, again, None, Millis::MAX);
                     }
                 }
             }
@@ -102,10 +102,10 @@
                 }
                 s.reported = report;
                 // It stands behind all that is in the inbox, so in the batch after those, at the latest in this many.
-                self.inbox.extend(facts.into_iter().map(|f| (Command::Facts(f), None, Millis::MAX)));
+                self.inbox.extend(facts.into_iter().map(|f| QueuedCommand::own(Command::Facts(f), now)));
                 let batches = self.inbox.len().div_ceil(BATCH_COMMANDS) as u64;
                 if let Some(s) = self.sessions.get_mut(&c) {
-                    s.reports.push_back((self.batch + batches.max(1), report));
+                    s.reports.push_back(OpenReport { batch: self.batch + batches.max(1), report, since: now });
                 }
             }
             GatewayFrame::WantConfiguration => s.configuration = 0,
@@ -130,6 +130,7 @@
                 continue;
             }
             let news = self.ledger.journal.since(s.scanned).filter(|_| s.ordered > 0);
+            let whole = news.is_none();
             let wanted = match news {
                 Some(events) => s.wanted_flush(&self.ledger.state, events),
                 None => Flush::Orders,
@@ -139,6 +140,10 @@
                 s.scanned = last;
                 continue;
             }
+            if whole {
+                let count = if s.ordered == 0 { &mut self.counters.first_views } else { &mut self.counters.overtaken_views };
+                *count += 1;
+            }
             // Orders and ends of jobs go at once; other news of jobs gathers until it is due.
             for u in self.ledger.updates(&s.name, s.record.instance, (s.view, s.ordered), s.configuration, due) {
                 if let Some(c) = &u.configuration {
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -141,6 +141,7 @@
         let mut peers = PeerLinks::new(self.settings.listen_internal.ip(), budget);
         let mut doors = GatewayDoors::default();
         let mut metrics_at = 0;
+        let mut dropped_told = LossNews::default();
         let mut leaving: Option<Millis> = None;
         loop {
             let input = tokio::select! {
@@ -214,6 +215,7 @@
             if now >= metrics_at {
                 metrics_at = now + METRICS_TIMEOUTS * c.log.election_timeout_ms;
                 publish(&core, now);
+                dropped_told.tell(&core);
             }
         }
         info!("scheduler down");
@@ -246,6 +248,25 @@
     }
 }
 
+/// What a leader could not tell in its usual way: a line whenever there is more of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct LossNews {
+    overtaken_views: u64,
+    commands_dropped: u64,
+}
+
+impl LossNews {
+    /// The line, if there is more than at the last look.
+    fn tell(&mut self, core: &Scheduler) {
+        let counters = &core.counters;
+        let now = LossNews { overtaken_views: counters.overtaken_views, commands_dropped: counters.commands_dropped };
+        if now != *self {
+            warn!(overtaken_views = now.overtaken_views, commands_dropped = now.commands_dropped, "views sent anew, commands dropped");
+            *self = now;
+        }
+    }
+}
+
 /// The machine's wall clock.
 fn wall_ms() -> Millis {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as Millis)
@@ -266,6 +287,10 @@
         ("scheduler_updates_total", n.updates),
         ("scheduler_malformed_frames_total", n.malformed + l.malformed),
         ("scheduler_repairs_total", n.repairs),
+        ("scheduler_first_views_total", n.first_views),
+        ("scheduler_overtaken_views_total", n.overtaken_views),
+        ("scheduler_batches_shed_total", n.batches_shed),
+        ("scheduler_commands_dropped_total", n.commands_dropped),
         ("log_unknown_versions_total", l.unknown_version),
         ("log_misrouted_total", l.misrouted),
         ("log_campaigns_total", l.campaigns),
@@ -278,6 +303,7 @@
     for (name, v) in totals {
         counter!(name).absolute(v);
     }
+    core.queue_gauges(now).each(|name, value| gauge!(name).set(value as f64));
     let s = core.state();
     gauge!("scheduler_leads").set(if core.is_serving(now) { 1.0 } else { 0.0 });
     gauge!("log_term").set(r.term() as f64);
