--- a/crates/capacity-slopes/src/fleet_driver.rs
+++ b/crates/capacity-slopes/src/fleet_driver.rs
@@ -119,8 +119,8 @@
     fn happen(&mut self, e: DriverEvent) {
         match e {
             DriverEvent::SchedulerTick(i) => {
-                let wall_ms = UNIX_AT_ZERO_MS + self.now;
-                self.scheduler(i, || Some(SchedulerInput::Tick { wall_ms }));
+                let (wall_ms, read_to) = (UNIX_AT_ZERO_MS + self.now, self.now);
+                self.scheduler(i, || Some(SchedulerInput::Tick { wall_ms, read_to }));
                 self.set(self.now + TICK_MS, DriverEvent::SchedulerTick(i));
             }
             DriverEvent::GatewayTick(i) => {
@@ -143,7 +143,9 @@
             DriverEvent::Up { channel, bytes } => {
                 let Some(&(_, s)) = self.channels.get(&channel) else { return };
                 self.schedulers[s].usage.received.frame("of gateways", bytes.len());
-                self.scheduler(s, || Some(SchedulerInput::Gateway(channel, Box::new(GatewayFrame::from_bytes(&bytes).ok()?))));
+                let arrived_at = self.now;
+                let frame = || Some(Box::new(GatewayFrame::from_bytes(&bytes).ok()?));
+                self.scheduler(s, || Some(SchedulerInput::Gateway { channel, arrived_at, frame: frame()? }));
             }
             DriverEvent::Down { channel, bytes } => {
                 let Some(&(g, _)) = self.channels.get(&channel) else { return };
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -123,8 +123,8 @@
         }
         let next = Self::thaw(&n.machine, self.now);
         if next.is_none() {
-            let wall_ms = n.machine.wall(self.now);
-            self.scheduler(i, SchedulerInput::Tick { wall_ms });
+            let (wall_ms, read_to) = (n.machine.wall(self.now), n.machine.now(self.now));
+            self.scheduler(i, SchedulerInput::Tick { wall_ms, read_to });
         }
         self.agenda.set(next.unwrap_or(self.now + TICK_MS), Occurrence::SchedulerTick(i, epoch));
     }
@@ -311,7 +311,8 @@
                 if self.settings.plant == Some(Plant::FormerHolderBelieved) {
                     self.believe(s.0, &mut f);
                 }
-                self.scheduler(s.0, SchedulerInput::Gateway(channel, Box::new(f)))
+                let arrived_at = self.schedulers[s.0].machine.now(self.now);
+                self.scheduler(s.0, SchedulerInput::Gateway { channel, arrived_at, frame: Box::new(f) })
             }
             Direction::Down(frame) if open.0 && self.gateways[g.0].machine.epoch == g.1 => {
                 self.gateway(g.0, GatewayInput::Frame { channel, frame });
--- a/crates/scheduler-core/src/planning/round_book.rs
+++ b/crates/scheduler-core/src/planning/round_book.rs
@@ -12,12 +12,21 @@
     zones: BTreeMap<Name, Room>,
     /// Tasks given of steps with a limit a worker.
     spread: BTreeMap<(WorkerIndex, StepId), u32>,
+    /// How often a worker was looked at for a task.
+    looks: Cell<u64>,
 }
 
 impl<'a> RoundBook<'a> {
     /// A round that has given nothing yet.
     pub fn new(state: &'a ClusterState) -> Self {
-        RoundBook { state, given: BTreeMap::new(), used: BTreeMap::new(), zones: BTreeMap::new(), spread: BTreeMap::new() }
+        RoundBook {
+            state,
+            given: BTreeMap::new(),
+            used: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            spread: BTreeMap::new(),
+            looks: Cell::new(0),
+        }
     }
 
     /// Room of a worker that is neither charged nor given.
@@ -36,6 +45,16 @@
         self.state.tasks_of_step_on(worker, step) + self.spread.get(&(worker, step)).copied().unwrap_or(0)
     }
 
+    /// Counts a look at a worker.
+    pub fn note_look(&self) {
+        self.looks.set(self.looks.get() + 1);
+    }
+
+    /// How often a worker was looked at for a task: what the round cost.
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
     /// Use of a queue in a zone.
     pub fn queue_use(&self, zone: &Name, queue: &Name) -> Use {
         let key = (zone.clone(), queue.clone());
--- a/crates/scheduler-core/src/planning/start_planner.rs
+++ b/crates/scheduler-core/src/planning/start_planner.rs
@@ -19,6 +19,8 @@
     pub held: BTreeSet<StepId>,
     /// Room set aside for gangs.
     pub reservations: BTreeMap<StepId, GangReservation>,
+    /// How often a worker was looked at for a task: what the round cost.
+    pub looks: u64,
 }
 
 /// A group of alike tasks with its steps still to do, the next one last.
@@ -100,6 +102,7 @@
             victims: self.preemption.into_victims(),
             held: self.held,
             reservations: self.reserved.into_made(),
+            looks: self.book.looks(),
         }
     }
 
@@ -286,7 +289,10 @@
     /// Workers that a group may use, room and trust aside.
     fn allowed(&self, group: &ReadyGroup) -> BTreeMap<WorkerIndex, &'a WorkerRecord> {
         let state = self.state;
-        let may = |w: &WorkerRecord| state.worker_allows(w, &group.queue, &group.service, &group.kinds, &group.labels);
+        let may = |w: &WorkerRecord| {
+            self.book.note_look();
+            state.worker_allows(w, &group.queue, &group.service, &group.kinds, &group.labels)
+        };
         let workers = state.tables.workers.iter().filter(|(index, w)| may(w) && !state.has_orphans(**index));
         workers.map(|(index, w)| (*index, w)).collect()
     }
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -1,6 +1,7 @@
 //! Every name this crate's files use.
 
 pub use std::borrow::Borrow;
+pub use std::cell::Cell;
 pub use std::cmp::{Ordering, Reverse};
 pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
 pub use std::fmt;
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -55,6 +55,8 @@
     pub rounds: u64,
     /// Starts planned.
     pub planned: u64,
+    /// How often a worker was looked at for a task.
+    pub looks: u64,
     /// Attempts that were to make room for urgent work.
     pub preempted: u64,
     /// Updates sent to gateways.
@@ -141,7 +143,7 @@
             return Vec::new();
         }
         match input {
-            SchedulerInput::Tick { wall_ms } => {
+            SchedulerInput::Tick { wall_ms, .. } => {
                 let wall_ms = self.wall.read(now, wall_ms);
                 self.drive(now, Input::Tick { wall_ms });
                 self.tick(now);
@@ -151,7 +153,7 @@
             SchedulerInput::GatewayUp(_) => {}
             SchedulerInput::Call { call, time_budget_ms, body } => self.call(now, call, time_budget_ms, *body),
             SchedulerInput::Leave => self.leave(now),
-            SchedulerInput::Gateway(c, f) => self.gateway(now, c, *f),
+            SchedulerInput::Gateway { channel, frame, .. } => self.gateway(now, channel, *frame),
             SchedulerInput::GatewayDown(c) => self.gateway_down(now, c),
         }
         self.settle(now);
--- a/crates/scheduler-core/src/scheduler_input.rs
+++ b/crates/scheduler-core/src/scheduler_input.rs
@@ -13,13 +13,22 @@
     Tick {
         /// The machine's wall clock.
         wall_ms: Millis,
+        /// All frames of gateways that arrived before this time have been handed over.
+        read_to: Millis,
     },
     /// A frame of another scheduler.
     Peer(Vec<u8>),
     /// A gateway opened a channel.
     GatewayUp(ChannelId),
     /// A gateway's frame.
-    Gateway(ChannelId, Box<GatewayFrame>),
+    Gateway {
+        /// The channel that it came on.
+        channel: ChannelId,
+        /// When it arrived, by this machine's clock.
+        arrived_at: Millis,
+        /// The frame.
+        frame: Box<GatewayFrame>,
+    },
     /// A gateway's channel is gone.
     GatewayDown(ChannelId),
     /// All writes up to this ticket are synced.
@@ -44,7 +53,7 @@
             SchedulerInput::Tick { .. } => "tick",
             SchedulerInput::Peer(_) => "peer",
             SchedulerInput::GatewayUp(_) => "gateway up",
-            SchedulerInput::Gateway(..) => "gateway",
+            SchedulerInput::Gateway { .. } => "gateway",
             SchedulerInput::GatewayDown(_) => "gateway down",
             SchedulerInput::Persisted(_) => "persisted",
             SchedulerInput::Call { .. } => "call",
--- a/crates/scheduler-core/src/scheduler_rounds.rs
+++ b/crates/scheduler-core/src/scheduler_rounds.rs
@@ -84,7 +84,8 @@
         let planner = StartPlanner::new(state, log_time, ROUND_STARTS, self.settings.policies, &self.planner_memory);
         let round = planner.plan();
         self.planner_memory.settle(log_time, &round, state.tables.rules.gang_time_budget_ms);
-        let PlannedRound { starts, victims, .. } = round;
+        let PlannedRound { starts, victims, looks, .. } = round;
+        self.counters.looks += looks;
         if !victims.is_empty() {
             self.counters.preempted += victims.len() as u64;
             self.inbox.push_back(QueuedCommand::own(Command::Preempt(victims), now));
--- a/crates/scheduler-core/tests/lone_scheduler_test.rs
+++ b/crates/scheduler-core/tests/lone_scheduler_test.rs
@@ -24,7 +24,7 @@
 
     fn tick(&mut self) {
         self.now += 25;
-        self.step(SchedulerInput::Tick { wall_ms: 1_000_000 + self.now });
+        self.step(SchedulerInput::Tick { wall_ms: 1_000_000 + self.now, read_to: self.now });
     }
 
     fn step(&mut self, input: SchedulerInput) {
@@ -41,9 +41,13 @@
         }
     }
 
+    fn gateway(&mut self, frame: GatewayFrame) {
+        self.step(SchedulerInput::Gateway { channel: 1, arrived_at: self.now, frame: Box::new(frame) });
+    }
+
     fn attach(&mut self) {
         self.step(SchedulerInput::GatewayUp(1));
-        self.step(SchedulerInput::Gateway(1, Box::new(attach_frame(WIRE_VERSION))));
+        self.gateway(attach_frame(WIRE_VERSION));
         self.tick();
     }
 }
@@ -82,7 +86,7 @@
         l.tick();
     }
     assert!(l.halted.as_ref().is_some_and(|h| h.contains("entry 2")), "{:?}", l.halted);
-    assert!(l.core.step(l.now, SchedulerInput::Tick { wall_ms: 0 }).is_empty());
+    assert!(l.core.step(l.now, SchedulerInput::Tick { wall_ms: 0, read_to: l.now }).is_empty());
 }
 
 #[test]
@@ -98,8 +102,8 @@
     };
     l.frames.clear();
     // The first takes the slot of this moment; the second waits for the next one, and its caller doesn't.
-    l.step(SchedulerInput::Gateway(1, Box::new(ask(1, 5_000, JobSpec { name: "first".into(), ..spec.clone() }))));
-    l.step(SchedulerInput::Gateway(1, Box::new(ask(2, 0, spec))));
+    l.gateway(ask(1, 5_000, JobSpec { name: "first".into(), ..spec.clone() }));
+    l.gateway(ask(2, 0, spec));
     l.tick();
     l.tick();
     assert_eq!(l.core.state().tables.next_job, before + 1);
@@ -110,6 +114,6 @@
 #[test]
 fn another_wire_version_is_shed_by_type() {
     let mut l = Lone::new(1);
-    l.step(SchedulerInput::Gateway(1, Box::new(attach_frame(WIRE_VERSION + 1))));
+    l.gateway(attach_frame(WIRE_VERSION + 1));
     assert!(matches!(l.frames.last(), Some(SchedulerFrame::Shed(CallError::UnknownVersion { .. }))));
 }
--- a/crates/scheduler-core/tests/stale_channel_test.rs
+++ b/crates/scheduler-core/tests/stale_channel_test.rs
@@ -13,7 +13,7 @@
     while !s.is_serving(now) {
         now += 25;
         assert!(now < 60_000);
-        step(&mut s, now, SchedulerInput::Tick { wall_ms: now });
+        step(&mut s, now, SchedulerInput::Tick { wall_ms: now, read_to: now });
     }
     let attach = GatewayFrame::Attach {
         wire_version: WIRE_VERSION,
@@ -25,7 +25,7 @@
         view: 0,
         configuration: 0,
     };
-    let frames = step(&mut s, now, SchedulerInput::Gateway(CHANNEL, Box::new(attach)));
+    let frames = step(&mut s, now, SchedulerInput::Gateway { channel: CHANNEL, arrived_at: now, frame: Box::new(attach) });
     assert!(frames.iter().any(|f| matches!(f, SchedulerFrame::Attached { .. })));
     (s, now)
 }
@@ -51,10 +51,10 @@
     let (mut s, from) = attached();
     let now = from + silence;
     for at in (from..=now).step_by(25) {
-        step(&mut s, at, SchedulerInput::Tick { wall_ms: at });
+        step(&mut s, at, SchedulerInput::Tick { wall_ms: at, read_to: at });
     }
     let ask = GatewayFrame::Ask { request: 5, time_budget_ms: 60_000, body: GetJob { name: "x".into() }.into_body() };
-    step(&mut s, now, SchedulerInput::Gateway(CHANNEL, Box::new(ask)))
+    step(&mut s, now, SchedulerInput::Gateway { channel: CHANNEL, arrived_at: now, frame: Box::new(ask) })
 }
 
 #[test]
--- a/crates/scheduler-core/tests/sure_reads_test.rs
+++ b/crates/scheduler-core/tests/sure_reads_test.rs
@@ -9,7 +9,7 @@
     settings.founders = founders.iter().map(|f| (*f).to_owned()).collect();
     let mut s = Scheduler::new(settings, 7, RestoredState::joining(), 0, 1).unwrap();
     for now in (25..=ms).step_by(25) {
-        step(&mut s, now, SchedulerInput::Tick { wall_ms: now });
+        step(&mut s, now, SchedulerInput::Tick { wall_ms: now, read_to: now });
     }
     let call = SchedulerInput::Call { call: 5, time_budget_ms: 900, body: Box::new(GetConfiguration {}.into_body()) };
     let answers = step(&mut s, ms, call);
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -109,12 +109,12 @@
         let budget = Duration::from_millis(c.log.election_timeout_ms);
         let listener = listen(self.settings.listen_internal).await.context(crate::daemon_error::PlumbingSnafu)?;
         let (tx, mut rx) = mpsc::channel::<Incoming>(INBOX);
-        let door_tx = tx.clone();
+        let (door_tx, clock) = (tx.clone(), self.clock);
         tokio::spawn(async move {
             for id in 1.. {
                 match listener.next().await {
                     Ok(incoming) => {
-                        tokio::spawn(read(id, incoming, budget, door_tx.clone()));
+                        tokio::spawn(read(id, incoming, budget, clock, door_tx.clone()));
                     }
                     Err(_) => {
                         counter!("accept_errors_total").increment(1);
@@ -151,7 +151,7 @@
                     SchedulerInput::Leave
                 }
                 i = disk_rx.recv() => i.context(crate::daemon_error::DiskGoneSnafu)?,
-                _ = ticks.tick() => SchedulerInput::Tick { wall_ms: wall_ms() },
+                _ = ticks.tick() => SchedulerInput::Tick { wall_ms: wall_ms(), read_to: self.clock.now() },
                 i = rx.recv() => match i {
                     None => break,
                     Some(Incoming::Door(id, inbox)) => {
@@ -283,6 +283,7 @@
         ("scheduler_shed_total", n.shed),
         ("scheduler_placement_rounds_total", n.rounds),
         ("scheduler_starts_planned_total", n.planned),
+        ("scheduler_planner_looks_total", n.looks),
         ("scheduler_preempted_total", n.preempted),
         ("scheduler_updates_total", n.updates),
         ("scheduler_malformed_frames_total", n.malformed + l.malformed),
--- a/crates/scheduler/src/gateway_doors.rs
+++ b/crates/scheduler/src/gateway_doors.rs
@@ -43,7 +43,7 @@
 }
 
 /// Reads one incoming channel, of a gateway or of a scheduler, until it ends.
-pub async fn read(id: ChannelId, incoming: IncomingChannel, budget: Duration, tx: mpsc::Sender<Incoming>) {
+pub async fn read(id: ChannelId, incoming: IncomingChannel, budget: Duration, clock: MonotonicClock, tx: mpsc::Sender<Incoming>) {
     let Ok(Channel { protocol, sink, mut stream, .. }) = incoming.open(budget).await else { return };
     let inbox = ChannelInbox::spawn(sink, INBOX_FRAMES);
     if protocol == GATEWAY_PROTOCOL {
@@ -63,7 +63,7 @@
         let Some(Ok(b)) = b else { break };
         let input = match protocol {
             GATEWAY_PROTOCOL => match GatewayFrame::from_bytes(&b) {
-                Ok(f) => SchedulerInput::Gateway(id, Box::new(f)),
+                Ok(f) => SchedulerInput::Gateway { channel: id, arrived_at: clock.now(), frame: Box::new(f) },
                 Err(e) => {
                     warn!(error = %e, "a gateway's frame can't be read: its channel is dropped");
                     counter!("unreadable_frames_total").increment(1);
