--- a/crates/gateway-core/tests/hold_test.rs
+++ b/crates/gateway-core/tests/hold_test.rs
@@ -179,3 +179,28 @@
     fx.extend(t.tick(1_000));
     assert!(facts(&fx).iter().any(|f| f.draining == Some(true) && f.assignment == ASSIGNMENT + 2), "{fx:?}");
 }
+
+/// Reports that a gateway may have on their way at once.
+const OPEN_REPORTS: usize = 4;
+
+#[test]
+fn a_leader_that_is_behind_gets_larger_reports_not_more_of_them() {
+    let mut t = Stand::attached();
+    let mut reports = 0;
+    let mut told_facts = 0;
+    let mut count = |fx: &[GatewayEffect]| {
+        reports += sent(fx).iter().filter(|f| matches!(f, GatewayFrame::Facts { .. })).count();
+        told_facts += facts(fx).iter().map(|f| f.started.len()).sum::<usize>();
+    };
+    for job in 1..=20 {
+        count(&t.give(id(job)));
+        count(&t.started(id(job), Reply::Answer(StartResult::Started)));
+        count(&t.tick(60));
+    }
+    for report in 1..=OPEN_REPORTS as u64 {
+        count(&t.frame(SchedulerFrame::FactsDone { report }));
+        count(&t.tick(60));
+    }
+    assert_eq!(told_facts, 20);
+    assert!(reports <= 2 * OPEN_REPORTS, "{reports} reports");
+}
--- a/crates/scheduler-core/tests/flush_test.rs
+++ b/crates/scheduler-core/tests/flush_test.rs
@@ -56,3 +56,21 @@
     assert_eq!(numbered.iter().filter(|n| **n).count(), 1);
     assert!(numbered[parts.len() - 1], "only the last part makes the view whole");
 }
+
+/// Events that a large fleet's starts and ends bring in the time for which a gateway may be cut off.
+const EVENTS_OF_A_CUT: u64 = 4_000 * 5;
+
+#[test]
+fn a_gateway_that_was_cut_off_for_seconds_under_load_gets_a_difference() {
+    let mut ledger = Ledger::new(ClusterState::new(ClusterRules::new(500)).unwrap());
+    let submit = |n: u64| Command::Submit { spec: JobSpec::single(&format!("j{n}"), "q", "s", 1, 100, 100), due_in_ms: 0 };
+    ledger.apply(10, CommandBatch { proposer: 1, number: 0, commands: vec![submit(0)] });
+    let seen = ledger.journal.last();
+    let mut n = 1;
+    while ledger.journal.last() < seen + EVENTS_OF_A_CUT - 2 {
+        ledger.apply(10 + n, CommandBatch { proposer: 1, number: n, commands: vec![submit(n)] });
+        n += 1;
+    }
+    let updates = ledger.updates("g", 1, (seen, seen), 0, true);
+    assert!(updates.len() == 1 && !updates[0].reset, "{} parts of a whole view", updates.len());
+}
--- a/crates/scheduler-core/tests/stale_channel_test.rs
+++ b/crates/scheduler-core/tests/stale_channel_test.rs
@@ -68,3 +68,24 @@
 fn what_comes_within_a_channels_patience_is_carried_out() {
     assert!(ask_after(1_400).iter().any(|f| matches!(f, SchedulerFrame::Answer { request: 5, .. })));
 }
+
+/// Pulses that arrived in good time while the leader worked off what came before them.
+fn pulses_read_late(late: Millis) -> Vec<SchedulerFrame> {
+    let (mut s, from) = attached();
+    let mut frames = Vec::new();
+    let pulse = |stamp| Box::new(GatewayFrame::Pulse { stamp, view: 0, configuration: 0 });
+    for (stamp, arrived_at) in (1..).zip((from..=from + 4 * late).step_by(250)) {
+        let now = arrived_at + late;
+        frames.extend(step(&mut s, now, SchedulerInput::Tick { wall_ms: now, read_to: arrived_at }));
+        frames.extend(step(&mut s, now, SchedulerInput::Gateway { channel: CHANNEL, arrived_at, frame: pulse(stamp) }));
+    }
+    assert!(s.state().tables.gateways["g1"].alive, "a gateway was lost that spoke all the while");
+    frames
+}
+
+#[test]
+fn a_leader_that_reads_late_takes_no_gateway_for_silent() {
+    let frames = pulses_read_late(4_000);
+    assert!(!frames.iter().any(|f| matches!(f, SchedulerFrame::NotLeader { .. })), "{frames:?}");
+    assert!(frames.iter().any(|f| matches!(f, SchedulerFrame::PulseEcho { .. })));
+}
