Rank a step's workers once a round, not once a task, and eligibility once for alike work

Cause: the leader's step lasts as long as its round of placement, and a round looked at every worker for every task of every step, at every worker again for each group that waited whether its turn came or not, and for a gang that prefers a rack at every worker for each rack. At 1,100 workers and 120 waiting steps that is 413,600 looks a round, so a leader with a backlog takes longer, gets less done, and has more backlog.

Change: the candidates of a step are ranked once and kept in a queue; a worker is looked at again only when its room was given. Eligibility is worked out once a round for all tasks that ask for the same, and only when their turn comes; what holds for any work (held, reachable, not draining, no orphans) once a round. Racks are kept apart, and a rack that can't hold a gang is passed over by its room alone.

Tests: lifetime-placement's ranking test states the ranked task as a struct now, no assertion changed.

--- a/crates/lifetime-placement/src/fleet_bands.rs
+++ b/crates/lifetime-placement/src/fleet_bands.rs
@@ -216,29 +216,20 @@
     /// (kind, zone, drain and the like are the caller's to judge). It ranks the
     /// bands as they were folded last, so call [`Self::tick`] with `now` before.
     pub fn assign(&self, now: Millis, task: &TaskToPlace, eligible: impl Fn(WorkerIndex) -> bool) -> Option<WorkerIndex> {
-        self.assign_by(now, task, &self.strategy, |worker| eligible(worker).then_some(()))
+        let ranked = self.ranked(now, task);
+        let workers = self.workers().map(|(worker, _)| worker).filter(|worker| eligible(*worker));
+        workers.filter_map(|worker| Some((self.score(now, ranked, &self.strategy, worker)?, worker))).min().map(|(_, worker)| worker)
     }
 
-    /// As [`Self::assign`], under another ranking that decides among the workers
-    /// which the caller prefers alike: the least preference goes first, a worker without one is not eligible.
-    pub fn assign_by<O: Ord>(
-        &self,
-        now: Millis,
-        task: &TaskToPlace,
-        ranking: &impl RankWorkers,
-        preference: impl Fn(WorkerIndex) -> Option<O>,
-    ) -> Option<WorkerIndex> {
-        let asked = self.asked(now, task);
-        self.workers()
-            .filter(|(_, w)| task.room.fits(w.free()))
-            .filter_map(|(i, w)| Some((preference(i)?, ranking.score(&self.settings, now, asked, w), i)))
-            .min()
-            .map(|(.., i)| i)
+    /// The score of one worker for a task under a ranking; `None` where it has no room.
+    pub fn score(&self, now: Millis, task: RankedTask, ranking: &impl RankWorkers, worker: WorkerIndex) -> Option<Score> {
+        let slot = self.worker(worker).filter(|slot| task.room.fits(slot.free()))?;
+        Some(ranking.score(&self.settings, now, task, slot))
     }
 
     /// When a task that starts now is expected to end.
     pub fn expected_exit(&self, now: Millis, task: &TaskToPlace) -> Millis {
-        self.asked(now, task).2
+        self.ranked(now, task).exit
     }
 
     /// Workers for all of `tasks` at once, in their order, or for none.
@@ -256,18 +247,18 @@
         let mut places = vec![0; tasks.len()];
         for n in order {
             let task = &tasks[n];
-            let asked = self.asked(now, task);
+            let ranked = self.ranked(now, task);
             let (_, i) = self
                 .workers()
                 .map(|(i, w)| (i, touched.get(&i).unwrap_or(w)))
                 .filter(|(i, w)| task.room.fits(w.free()) && eligible(n, *i))
-                .map(|(i, w)| (self.strategy.score(&self.settings, now, asked, w), i))
+                .map(|(i, w)| (self.strategy.score(&self.settings, now, ranked, w), i))
                 .min()?;
             let slot = match touched.get_mut(&i) {
                 Some(s) => s,
                 None => touched.entry(i).or_insert(self.worker(i)?.clone()),
             };
-            let (room, class, exit) = asked;
+            let RankedTask { room, class, exit } = ranked;
             slot.used = slot.used.add(room);
             slot.exit = slot.exit.max(Some(exit));
             slot.band.apply(&self.chart, &self.settings, (now, BandEvent::TaskPlaced), class, BTreeSet::new);
@@ -276,10 +267,10 @@
         Some(places)
     }
 
-    /// Room, class and exit a task is ranked by.
-    fn asked(&self, now: Millis, task: &TaskToPlace) -> (Room, LifetimeClass, Millis) {
+    /// What a task that starts now is ranked by.
+    pub fn ranked(&self, now: Millis, task: &TaskToPlace) -> RankedTask {
         let remaining = self.predictor.remaining_ms(&task.features, 0).expected_ms;
-        (task.room, self.settings.class_of(remaining), now.saturating_add(remaining))
+        RankedTask { room: task.room, class: self.settings.class_of(remaining), exit: now.saturating_add(remaining) }
     }
 
     fn slot(workers: &mut [Option<WorkerSlot>], worker: WorkerIndex) -> Result<&mut WorkerSlot, PlacementError> {
--- a/crates/lifetime-placement/src/lib.rs
+++ b/crates/lifetime-placement/src/lib.rs
@@ -26,6 +26,7 @@
 mod placement_strategy;
 mod prediction;
 mod rank_workers;
+mod ranked_task;
 mod replay;
 mod replay_report;
 mod room;
--- a/crates/lifetime-placement/src/placement_strategy.rs
+++ b/crates/lifetime-placement/src/placement_strategy.rs
@@ -48,7 +48,7 @@
         &self,
         settings: &PlacementSettings,
         now: Millis,
-        (room, class, exit): (Room, LifetimeClass, Millis),
+        RankedTask { room, class, exit }: RankedTask,
         worker: &W,
     ) -> Score {
         match self {
--- a/crates/lifetime-placement/src/prelude.rs
+++ b/crates/lifetime-placement/src/prelude.rs
@@ -30,6 +30,7 @@
 pub use crate::placement_strategy::PlacementStrategy;
 pub use crate::prediction::Prediction;
 pub use crate::rank_workers::{RankWorkers, Score};
+pub use crate::ranked_task::RankedTask;
 pub use crate::replay::Replay;
 pub use crate::replay_report::ReplayReport;
 pub use crate::room::Room;
--- a/crates/lifetime-placement/src/rank_workers.rs
+++ b/crates/lifetime-placement/src/rank_workers.rs
@@ -5,6 +5,6 @@
 
 /// Scores a worker that has room for a task.
 pub trait RankWorkers {
-    /// The score of `worker` for a task of `room` and `class` with exit at `exit`.
-    fn score<W: WorkerView>(&self, settings: &PlacementSettings, now: Millis, task: (Room, LifetimeClass, Millis), worker: &W) -> Score;
+    /// The score of `worker` for a task.
+    fn score<W: WorkerView>(&self, settings: &PlacementSettings, now: Millis, task: RankedTask, worker: &W) -> Score;
 }
--- a/crates/lifetime-placement/tests/ranking.rs
+++ b/crates/lifetime-placement/tests/ranking.rs
@@ -26,9 +26,9 @@
 
 fn order(strategy: PlacementStrategy, class: u8, lifetime: Millis, workers: &[Seen]) -> Vec<usize> {
     let s = PlacementSettings::default();
-    let asked = (Room::new(100, 100), LifetimeClass::new(class), lifetime);
+    let task = RankedTask { room: Room::new(100, 100), class: LifetimeClass::new(class), exit: lifetime };
     let mut out: Vec<usize> = (0..workers.len()).collect();
-    out.sort_by_key(|i| (strategy.score(&s, 0, asked, &workers[*i]), *i));
+    out.sort_by_key(|i| (strategy.score(&s, 0, task, &workers[*i]), *i));
     out
 }
 
--- a/crates/scheduler-core/src/explain.rs
+++ b/crates/scheduler-core/src/explain.rs
@@ -91,7 +91,7 @@
         let (mut now, mut empty) = (0, 0);
         let mut racks: BTreeMap<&Name, u64> = BTreeMap::new();
         for (index, w) in &self.tables.workers {
-            let may = self.worker_allows(w, &spec.queue, &spec.service, &st.kinds, &st.labels) && !self.has_orphans(*index);
+            let may = self.worker_allows(*index, w, &spec.queue, &spec.service, &st.kinds, &st.labels);
             if !may || !w.health.may_try(self.tables.log_time, 0) {
                 continue;
             }
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -234,7 +234,7 @@
         let w = s.tables.workers.get(&worker)?;
         let st = &spec.steps[task.step as usize];
         let spread = st.most_per_worker == 0 || s.tasks_of_step_on(worker, task.step_id()) < st.most_per_worker;
-        (spread && !s.has_orphans(worker) && s.worker_allows(w, &spec.queue, &spec.service, &st.kinds, &st.labels)).then(|| room_of(st))
+        (spread && s.worker_allows(worker, w, &spec.queue, &spec.service, &st.kinds, &st.labels)).then(|| room_of(st))
     }
 
     /// Ends a job: nothing of it starts any more, what is out is stopped.
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -438,16 +438,28 @@
         self.tables.orphans.range(from..).next().is_some_and(|o| o.0 == worker)
     }
 
+    /// Whether anything may be sent to a worker now; `held` says whether a live gateway holds it.
+    pub fn is_open(&self, index: WorkerIndex, worker: &WorkerRecord, held: bool) -> bool {
+        let evacuated = self.tables.evacuated.contains(&worker.told.zone);
+        held && worker.reachable && !worker.draining() && !evacuated && !self.has_orphans(index)
+    }
+
+    /// Whether a live gateway holds a worker.
+    fn is_held(&self, worker: &WorkerRecord) -> bool {
+        worker.gateway.as_ref().is_some_and(|name| self.tables.gateways.get(name).is_some_and(|gateway| gateway.alive))
+    }
+
     /// Whether a worker may get a task of that queue, service and kinds now, its room, trust and caps aside.
-    pub fn worker_allows(&self, w: &WorkerRecord, queue: &str, service: &str, kinds: &[Name], labels: &[Name]) -> bool {
-        let held = w.gateway.as_ref().is_some_and(|g| self.tables.gateways.get(g).is_some_and(|g| g.alive));
-        let open = held && w.reachable && !w.draining() && !self.tables.evacuated.contains(&w.told.zone);
-        open && w.told.service == service
-            && (kinds.is_empty() || kinds.contains(&w.told.kind))
-            && labels.iter().all(|l| w.told.labels.contains(l))
-            && self.placement_queue_settings(&w.told.zone, queue).is_some_and(|q| {
-                let q = &q.settings;
-                (q.kinds.is_empty() || q.kinds.contains(&w.told.kind)) && (q.services.is_empty() || q.services.iter().any(|s| s == service))
-            })
+    pub fn worker_allows(
+        &self,
+        index: WorkerIndex,
+        worker: &WorkerRecord,
+        queue: &str,
+        service: &str,
+        kinds: &[Name],
+        labels: &[Name],
+    ) -> bool {
+        let settings = self.placement_queue_settings(&worker.told.zone, queue);
+        self.is_open(index, worker, self.is_held(worker)) && settings.is_some_and(|queue| worker.takes(&queue, service, kinds, labels))
     }
 }
--- a/crates/scheduler-core/src/planning/mod.rs
+++ b/crates/scheduler-core/src/planning/mod.rs
@@ -3,6 +3,8 @@
 //! [`StartPlanner`] walks the waiting steps in their order. For each task it asks [`WorkerChoice`] for a worker, and charges
 //! the [`RoundBook`]. Each policy is a file of its own and can be switched off by itself with [`PlacementPolicies`].
 
+mod candidate_queue;
+mod eligible_workers;
 mod gang_reservations;
 mod placement_policies;
 mod planner_memory;
@@ -16,6 +18,8 @@
 mod worker_choice;
 mod zone_allowance;
 
+pub use candidate_queue::{Candidate, CandidateQueue};
+pub use eligible_workers::{EligibleWorkers, RackWorkers};
 pub use gang_reservations::{GangReservation, GangReservations};
 pub use placement_policies::{PlacementPolicies, UnknownPolicy};
 pub use planner_memory::PlannerMemory;
@@ -26,6 +30,6 @@
 pub use start_planner::{PlannedRound, PlannedStarts, StartPlanner};
 pub use step_placement::StepPlacement;
 pub use wide_shapes::WideShapes;
-pub use worker_choice::WorkerChoice;
+pub use worker_choice::{Preference, WorkerChoice};
 pub(crate) use worker_choice::{SLOW_RATIO, is_sound};
 pub use zone_allowance::zone_allowance;
--- a/crates/scheduler-core/src/planning/reserved_workers.rs
+++ b/crates/scheduler-core/src/planning/reserved_workers.rs
@@ -71,6 +71,11 @@
         reserved.step == placement.id || (!reserved.exclusive && placement.urgency >= reserved.urgency)
     }
 
+    /// Whether no worker is set aside.
+    pub fn is_empty(&self) -> bool {
+        self.by_worker.is_empty()
+    }
+
     /// Gives a step's workers back.
     pub fn release(&mut self, step: StepId) {
         self.by_worker.retain(|_, reserved| reserved.step != step);
@@ -86,7 +91,7 @@
         }
         let Some(reservation) = self.choose(placement, book, expected_ms) else { return false };
         let workers: usize = exclusive.iter().map(|made| made.members.len()).sum();
-        if workers > 0 && workers + reservation.members.len() > placement.allowed.len() / RESERVED_PART {
+        if workers > 0 && workers + reservation.members.len() > placement.eligible.all().len() / RESERVED_PART {
             return false;
         }
         self.enter(placement.id, placement.urgency, &reservation);
@@ -99,7 +104,7 @@
     pub fn claim(&mut self, placement: &StepPlacement<'_>) {
         let member = placement.group.room;
         let mut left = u64::from(placement.group.gang);
-        let could_ever: u64 = placement.allowed.values().map(|record| record.room().count_of(member).min(left)).sum();
+        let could_ever: u64 = placement.eligible.all().values().map(|record| record.room().count_of(member).min(left)).sum();
         if could_ever < left || !self.before.may_reserve(placement.id, self.now) {
             return;
         }
@@ -109,7 +114,7 @@
             if left == 0 {
                 break;
             }
-            let Some(record) = placement.allowed.get(&candidate.worker) else { continue };
+            let Some(record) = placement.eligible.all().get(&candidate.worker) else { continue };
             let members = record.room().count_of(member).min(left);
             if members == 0 || self.by_worker.contains_key(&candidate.worker) {
                 continue;
@@ -170,7 +175,7 @@
         }
         let mut racks: BTreeMap<&Name, Vec<MemberPlace>> = BTreeMap::new();
         for place in &places {
-            racks.entry(&placement.allowed[&place.worker].told.rack).or_default().push(*place);
+            racks.entry(&placement.eligible.all()[&place.worker].told.rack).or_default().push(*place);
         }
         let in_rack = racks.values().filter_map(|places| Self::earliest(places, members)).min_by_key(|found| found.ready_at);
         let worth = anywhere.ready_at.saturating_add(expected_ms / RACK_WAIT_PART);
@@ -193,7 +198,7 @@
         let kept_ms = self.state.tables.rules.hold_interval_ms / KEPT_HOLD_PART;
         let kept = self.before.get(placement.id).filter(|kept| kept.exclusive);
         let mut places: Vec<(Millis, MemberPlace)> = Vec::new();
-        for (&worker, &record) in placement.allowed {
+        for (&worker, &record) in placement.eligible.all() {
             let taken = self.by_worker.get(&worker).is_some_and(|reserved| reserved.exclusive);
             if taken || !record.health.may_try(self.now, 0) || !is_sound(record) {
                 continue;
--- a/crates/scheduler-core/src/planning/start_planner.rs
+++ b/crates/scheduler-core/src/planning/start_planner.rs
@@ -27,8 +27,19 @@
 struct PendingGroup<'a> {
     group: &'a ReadyGroup,
     steps: Vec<ReadyStep>,
-    /// Workers that its tasks may use, room and trust aside.
-    allowed: BTreeMap<WorkerIndex, &'a WorkerRecord>,
+}
+
+/// What decides which workers a task may use, room and trust aside: queue, service, kinds, labels.
+type Eligibility<'a> = (&'a Name, &'a Name, &'a [Name], &'a [Name]);
+
+/// Candidates for the tasks of one step, ranked when they are first asked for.
+struct StepCandidates {
+    /// Tasks that each zone may take.
+    zones: BTreeMap<Name, u64>,
+    /// In the rack of the step's data.
+    near: Option<CandidateQueue>,
+    /// Anywhere, and whether reserved workers are among them.
+    anywhere: Option<(bool, CandidateQueue)>,
 }
 
 /// Works out which waiting tasks start where, from the committed state as it is: nothing is changed here.
@@ -42,6 +53,9 @@
     policies: PlacementPolicies,
     memory: &'a PlannerMemory,
     book: RoundBook<'a>,
+    eligible: BTreeMap<Eligibility<'a>, Rc<EligibleWorkers<'a>>>,
+    /// Workers to which anything may be sent now, worked out when the first step is planned.
+    open_workers: OnceCell<Rc<RackWorkers<'a>>>,
     wide_shapes: WideShapes,
     reserved: ReservedWorkers<'a>,
     preemption: Preemption<'a>,
@@ -68,6 +82,8 @@
             policies,
             memory,
             book: RoundBook::new(state),
+            eligible: BTreeMap::new(),
+            open_workers: OnceCell::new(),
             wide_shapes: WideShapes::new(state),
             reserved: ReservedWorkers::new(state, now, &memory.reservations),
             preemption: Preemption::new(state, now),
@@ -88,8 +104,7 @@
             let urgency = self.state.urgency(&group.queue, group.asked);
             let mut steps: Vec<ReadyStep> = steps.iter().take(self.most).copied().collect();
             steps.reverse();
-            let pending = PendingGroup { group, steps, allowed: self.allowed(group) };
-            levels.entry(Reverse(urgency)).or_default().push(pending);
+            levels.entry(Reverse(urgency)).or_default().push(PendingGroup { group, steps });
         }
         for (Reverse(urgency), groups) in levels {
             self.plan_level(urgency, groups);
@@ -157,7 +172,9 @@
         let urgent = urgency >= rules.urgent_from;
         let waits_long = self.now >= due_at + PRESSING_HOLDS * rules.hold_interval_ms;
         let pressing = waits_long && pending.group.gang == 0 && (job.live() == 0 || spec.run_until_cancelled);
-        let placement = StepPlacement { urgency, urgent, pressing, group: pending.group, id, spec, step, allowed: &pending.allowed };
+        let eligible = self.eligible(pending.group);
+        let ranked = self.state.bands.ranked(self.now, &self.state.task_to_place(spec, id.step, 0));
+        let placement = StepPlacement { urgency, urgent, pressing, group: pending.group, id, spec, step, eligible: &eligible, ranked };
         match pending.group.gang {
             0 => self.plan_tasks(&placement, pending.group),
             _ => self.plan_gang(&placement),
@@ -184,7 +201,7 @@
         if self.service_use_ppm(&placement.group.service) < SCARCE_PPM {
             return;
         }
-        let expected_ms = self.expected_ms(placement);
+        let expected_ms = placement.ranked.exit.saturating_sub(self.now);
         if !self.reserved.reserve(placement, &self.book, expected_ms) && self.policies.gang_claims {
             self.reserved.claim(placement);
         }
@@ -204,27 +221,28 @@
     /// Plans the waiting tasks of a step one by one.
     fn plan_tasks(&mut self, placement: &StepPlacement<'_>, group: &'a ReadyGroup) -> bool {
         let (id, step) = (placement.id, placement.step);
+        let mut candidates = self.candidates(placement);
         let mut starts = Vec::new();
         let mut fits = true;
         let rack = group.near_rack.as_ref().filter(|_| self.may_hold(placement));
         for index in step.waiting().take(self.most - self.count) {
-            let task = &step.tasks[index as usize];
+            let avoid = step.tasks[index as usize].avoid;
             // One that failed somewhere has lost its time already, and should avoid a worker more than a way.
-            if let Some(rack) = rack.filter(|_| task.avoid.is_none()) {
-                match self.places(placement, &[index], &|w| w.told.rack == *rack && is_sound(w)) {
-                    Some(found) => starts.extend(found.into_iter().map(|worker| (id.task(index), worker))),
+            if let Some(rack) = rack.filter(|_| avoid.is_none()) {
+                match self.take_near(placement, rack, &mut candidates) {
+                    Some(worker) => starts.push((id.task(index), worker)),
                     None => self.hold(placement, rack),
                 }
                 continue;
             }
             // One task is enough for a job that presses, unless it lasts.
             let pressing = placement.pressing && (starts.is_empty() || placement.spec.run_until_cancelled);
-            match self.places(&StepPlacement { pressing, ..*placement }, &[index], &|_| true) {
-                Some(found) => starts.extend(found.into_iter().map(|worker| (id.task(index), worker))),
+            match self.take_anywhere(&StepPlacement { pressing, ..*placement }, avoid, &mut candidates) {
+                Some(worker) => starts.push((id.task(index), worker)),
                 None => {
                     self.preempt(placement, step.waiting().skip_while(|i| *i != index).count());
                     // A task that shuns the worker it failed on says nothing of its group.
-                    fits = task.avoid.is_some();
+                    fits = avoid.is_some();
                     break;
                 }
             }
@@ -236,17 +254,68 @@
         fits
     }
 
-    /// The expected lifetime of a task of a step.
-    fn expected_ms(&self, placement: &StepPlacement<'_>) -> Millis {
-        let task = self.state.task_to_place(placement.spec, placement.id.step, 0);
-        self.state.bands.expected_exit(self.now, &task).saturating_sub(self.now)
+    fn candidates(&self, placement: &StepPlacement<'_>) -> StepCandidates {
+        let zones = zone_allowance(self.state, &self.book, self.policies, placement.urgent, placement.group);
+        StepCandidates { zones, near: None, anywhere: None }
+    }
+
+    /// A sound worker in the rack of the step's data for one more task, whose room is charged.
+    fn take_near(&mut self, placement: &StepPlacement<'_>, rack: &Name, candidates: &mut StepCandidates) -> Option<WorkerIndex> {
+        let mut queue = candidates.near.take().unwrap_or_else(|| {
+            let sound = placement.eligible.in_rack(rack).iter().copied().filter(|(_, worker)| is_sound(worker));
+            CandidateQueue::new(&self.choice(), placement, &candidates.zones, sound)
+        });
+        let worker = queue.take(placement, &candidates.zones);
+        candidates.near = Some(queue);
+        worker.inspect(|worker| self.charge(placement, *worker, candidates))
+    }
+
+    /// Any worker for one more task, whose room is charged.
+    fn take_anywhere(
+        &mut self,
+        placement: &StepPlacement<'_>,
+        avoid: Option<WorkerIndex>,
+        candidates: &mut StepCandidates,
+    ) -> Option<WorkerIndex> {
+        let workers = || placement.eligible.all().iter().map(|(index, worker)| (*index, *worker));
+        let worker = match avoid {
+            Some(_) => self.choice().best(placement, avoid, &candidates.zones, workers()),
+            None => {
+                // Whoever presses may use reserved workers beside all others.
+                let alike = |pressing: bool| pressing == placement.pressing || self.reserved.is_empty();
+                let known = candidates.anywhere.take().filter(|(pressing, _)| alike(*pressing));
+                let (_, mut queue) = known
+                    .unwrap_or_else(|| (placement.pressing, CandidateQueue::new(&self.choice(), placement, &candidates.zones, workers())));
+                let worker = queue.take(placement, &candidates.zones);
+                candidates.anywhere = Some((placement.pressing, queue));
+                worker
+            }
+        };
+        worker.inspect(|worker| self.charge(placement, *worker, candidates))
+    }
+
+    /// Gives a worker's room to one task of a step.
+    fn charge(&mut self, placement: &StepPlacement<'_>, worker: WorkerIndex, candidates: &mut StepCandidates) {
+        let record = &self.state.tables.workers[&worker];
+        if let Some(left) = candidates.zones.get_mut(&record.told.zone) {
+            *left -= 1;
+        }
+        self.book.charge(worker, placement.group, placement.id);
+        let choice = self.choice();
+        let is_near = placement.group.near_rack.as_ref() == Some(&record.told.rack) && is_sound(record);
+        if let Some(queue) = candidates.near.as_mut().filter(|_| is_near) {
+            queue.renew(&choice, placement, &candidates.zones, worker);
+        }
+        if let Some((pressing, queue)) = &mut candidates.anywhere {
+            queue.renew(&choice, &StepPlacement { pressing: *pressing, ..*placement }, &candidates.zones, worker);
+        }
     }
 
     /// Whether urgent tasks may wait a little for room near their data: elsewhere they would take far longer.
     fn may_hold(&self, placement: &StepPlacement<'_>) -> bool {
         let rules = &self.state.tables.rules;
         let estimate_ms = placement.spec.steps.get(usize::from(placement.id.step)).map_or(0, |step| step.estimate_ms);
-        let known = placement.allowed.values().any(|w| Some(&w.told.rack) == placement.group.near_rack.as_ref());
+        let known = placement.group.near_rack.as_ref().is_some_and(|rack| !placement.eligible.in_rack(rack).is_empty());
         self.policies.rack_wait
             && known
             && placement.urgent
@@ -282,56 +351,100 @@
         placement: &StepPlacement<'p>,
         within: impl Fn(&WorkerRecord) -> bool,
     ) -> BTreeMap<WorkerIndex, &'p WorkerRecord> {
-        let trusted = placement.allowed.iter().filter(|(_, w)| w.health.may_try(self.now, 0) && within(w));
+        let trusted = placement.eligible.all().iter().filter(|(_, w)| w.health.may_try(self.now, 0) && within(w));
         trusted.map(|(index, w)| (*index, *w)).collect()
     }
 
+    /// Workers to which anything may be sent now, whatever it asks for.
+    fn open_workers(&self) -> Rc<RackWorkers<'a>> {
+        let known = self.open_workers.get_or_init(|| {
+            let state = self.state;
+            let alive: HashSet<&Name> = state.tables.gateways.iter().filter(|(_, gateway)| gateway.alive).map(|(name, _)| name).collect();
+            let held = |worker: &WorkerRecord| worker.gateway.as_ref().is_some_and(|gateway| alive.contains(gateway));
+            let open = |index: WorkerIndex, worker: &WorkerRecord| state.is_open(index, worker, held(worker));
+            let workers = state.tables.workers.iter().filter(|(index, worker)| open(**index, worker));
+            Rc::new(workers.map(|(index, worker)| (*index, worker)).collect())
+        });
+        known.clone()
+    }
+
     /// Workers that a group may use, room and trust aside.
-    fn allowed(&self, group: &ReadyGroup) -> BTreeMap<WorkerIndex, &'a WorkerRecord> {
-        let state = self.state;
-        let may = |w: &WorkerRecord| {
-            self.book.note_look();
-            state.worker_allows(w, &group.queue, &group.service, &group.kinds, &group.labels)
+    fn eligible(&mut self, group: &'a ReadyGroup) -> Rc<EligibleWorkers<'a>> {
+        let key = (&group.queue, &group.service, group.kinds.as_slice(), group.labels.as_slice());
+        if let Some(known) = self.eligible.get(&key) {
+            return known.clone();
+        }
+        let (state, book) = (self.state, &self.book);
+        let queues: BTreeMap<&Name, Arc<EffectiveQueue>> =
+            state.zone_room.keys().filter_map(|zone| Some((zone, state.placement_queue_settings(zone, &group.queue)?))).collect();
+        let may = |worker: &WorkerRecord| {
+            book.note_look();
+            let queue = queues.get(&worker.told.zone);
+            queue.is_some_and(|queue| worker.takes(queue, &group.service, &group.kinds, &group.labels))
         };
-        let workers = state.tables.workers.iter().filter(|(index, w)| may(w) && !state.has_orphans(**index));
-        workers.map(|(index, w)| (*index, w)).collect()
+        let open = self.open_workers();
+        let workers = open.iter().filter(|(_, worker)| may(worker)).copied();
+        let found = Rc::new(EligibleWorkers::new(workers));
+        self.eligible.insert(key, found.clone());
+        found
     }
 
     /// Workers for a whole gang: within one rack where that is faster and possible.
     fn gang_places(&mut self, placement: &StepPlacement<'_>, members: &[u32]) -> Option<Vec<WorkerIndex>> {
+        let wanted = members.len() as u64;
+        let most: Vec<u64> = placement.eligible.racks().map(|rack| self.most_members(placement, rack)).collect();
+        if most.iter().copied().fold(0, u64::saturating_add) < wanted {
+            return None;
+        }
         if placement.group.same_rack {
-            let racks: BTreeSet<&Name> = placement.allowed.values().map(|w| &w.told.rack).collect();
-            for rack in racks {
-                let found = self.places(placement, members, &|w| w.told.rack == *rack);
+            for (rack, _) in placement.eligible.racks().zip(most).filter(|(_, most)| *most >= wanted) {
+                let found = self.places(placement, members, rack);
                 if found.is_some() {
                     return found;
                 }
             }
         }
-        self.places(placement, members, &|_| true)
+        let anywhere: RackWorkers<'_> = placement.eligible.all().iter().map(|(index, worker)| (*index, *worker)).collect();
+        self.places(placement, members, &anywhere)
     }
 
-    /// Workers for all of `members`, or none; what they take is charged.
+    /// How many members of a gang some workers have room for at most.
+    fn most_members(&self, placement: &StepPlacement<'_>, workers: &[(WorkerIndex, &WorkerRecord)]) -> u64 {
+        let group = placement.group;
+        let spread = group.spread.map_or(u64::MAX, |(most, _)| u64::from(most));
+        let places = workers.iter().map(|(index, worker)| {
+            self.book.note_look();
+            self.book.free(*index, worker).count_of(group.room).min(spread)
+        });
+        places.fold(0, u64::saturating_add)
+    }
+
+    /// Workers among some for all members of a gang, or none; what they take is charged.
     fn places(
         &mut self,
         placement: &StepPlacement<'_>,
         members: &[u32],
-        within: &dyn Fn(&WorkerRecord) -> bool,
+        workers: &[(WorkerIndex, &WorkerRecord)],
     ) -> Option<Vec<WorkerIndex>> {
-        let mut zones = zone_allowance(self.state, &self.book, self.policies, placement.urgent, placement.group);
+        let mut candidates = self.candidates(placement);
+        let queue = CandidateQueue::new(&self.choice(), placement, &candidates.zones, workers.iter().copied());
+        candidates.anywhere = Some((placement.pressing, queue));
         let mut found: Vec<WorkerIndex> = Vec::with_capacity(members.len());
         for &member in members {
             let avoid = placement.step.tasks[member as usize].avoid;
-            let Some(worker) = self.choice().best(placement, avoid, &zones, within) else {
+            let place = match avoid {
+                Some(_) => {
+                    let best = self.choice().best(placement, avoid, &candidates.zones, workers.iter().copied());
+                    best.inspect(|worker| self.charge(placement, *worker, &mut candidates))
+                }
+                None => self.take_anywhere(placement, None, &mut candidates),
+            };
+            let Some(worker) = place else {
                 for worker in found {
                     self.book.refund(worker, placement.group, placement.id);
                 }
                 return None;
             };
-            if let Some(left) = zones.get_mut(&self.state.tables.workers[&worker].told.zone) {
-                *left -= 1;
-            }
-            self.book.charge(worker, placement.group, placement.id);
             found.push(worker);
         }
         Some(found)
--- a/crates/scheduler-core/src/planning/step_placement.rs
+++ b/crates/scheduler-core/src/planning/step_placement.rs
@@ -18,5 +18,7 @@
     /// Its record.
     pub step: &'p Step,
     /// Workers that its tasks may use, room and trust aside.
-    pub allowed: &'p BTreeMap<WorkerIndex, &'p WorkerRecord>,
+    pub eligible: &'p EligibleWorkers<'p>,
+    /// What workers are ranked by for its tasks.
+    pub ranked: RankedTask,
 }
--- a/crates/scheduler-core/src/planning/worker_choice.rs
+++ b/crates/scheduler-core/src/planning/worker_choice.rs
@@ -14,9 +14,10 @@
 
 /// How well a worker suits a task before the lifetime bands are asked; less is better.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Preference {
+pub struct Preference {
     /// Whether it is set aside for a gang.
     reserved: bool,
+    /// Nearness, pace and soundness.
     tier: Tier,
     /// What wide tasks lose.
     wide_loss: u64,
@@ -56,21 +57,34 @@
 }
 
 impl WorkerChoice<'_, '_> {
-    /// The best worker for one task among those within reach of the filter, with `zones` more tasks allowed in each zone.
-    pub fn best(
+    /// The best of some workers for one task that failed on one of them, with `zones` more tasks allowed in each zone.
+    pub fn best<'w>(
         &self,
         placement: &StepPlacement<'_>,
         avoid: Option<WorkerIndex>,
         zones: &BTreeMap<Name, u64>,
-        within: &dyn Fn(&WorkerRecord) -> bool,
+        workers: impl Iterator<Item = (WorkerIndex, &'w WorkerRecord)>,
     ) -> Option<WorkerIndex> {
-        let task = self.state.task_to_place(placement.spec, placement.id.step, 0);
+        let candidates = workers.filter_map(|(worker, record)| self.candidate(placement, worker, record, avoid, zones));
+        candidates.min().map(|best| best.worker)
+    }
+
+    /// How a worker stands for one more task of the step; `None` where it can't take it.
+    pub fn candidate(
+        &self,
+        placement: &StepPlacement<'_>,
+        worker: WorkerIndex,
+        record: &WorkerRecord,
+        avoid: Option<WorkerIndex>,
+        zones: &BTreeMap<Name, u64>,
+    ) -> Option<Candidate> {
+        if !self.fits(placement, worker, record, zones) {
+            return None;
+        }
         let strategy = if self.policies.lifetime_bands { PlacementStrategy::Lava } else { PlacementStrategy::BestFit };
-        self.state.bands.assign_by(self.now, &task, &strategy, |worker| {
-            let record = *placement.allowed.get(&worker)?;
-            let fits = self.fits(placement, worker, record, zones) && within(record);
-            fits.then(|| self.preference(placement, worker, record, avoid)).flatten()
-        })
+        let score = self.state.bands.score(self.now, placement.ranked, &strategy, worker)?;
+        let preference = self.preference(placement, worker, record, avoid)?;
+        Some(Candidate { preference, score, worker })
     }
 
     /// Whether a worker may and can take one more task of the step now.
--- a/crates/scheduler-core/src/planning/zone_allowance.rs
+++ b/crates/scheduler-core/src/planning/zone_allowance.rs
@@ -14,7 +14,7 @@
         let mut most = cap_left(&queue.settings, *room, book.queue_use(zone, &group.queue), group.room);
         if !urgent {
             let zone_settings = state.effective.zone(zone);
-            let reserve = zone_settings.map_or(QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
+            let reserve = zone_settings.map_or_else(|| QueueSettings::default().urgent_reserve, |z| z.inherited.settings.urgent_reserve);
             let open = room.scaled(1.0 - reserve).sub(used.add(book.given_in(zone)));
             // Where the reserve holds no GPUs, lesser work may use them all.
             let open = if policies.reserve_gpus { open } else { open.with_gpus(u64::MAX) };
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -1,11 +1,12 @@
 //! Every name this crate's files use.
 
 pub use std::borrow::Borrow;
-pub use std::cell::Cell;
+pub use std::cell::{Cell, OnceCell};
 pub use std::cmp::{Ordering, Reverse};
-pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashSet, VecDeque};
 pub use std::fmt;
 pub use std::ops::RangeInclusive;
+pub use std::rc::Rc;
 pub use std::sync::{Arc, LazyLock};
 
 pub use cluster_messages::prelude::{
@@ -22,8 +23,8 @@
     SnapshotError, apply_patch_within, patch_text,
 };
 pub use lifetime_placement::prelude::{
-    FOREVER, FleetBands, LearnedDistributions, PlacementError, PlacementSettings, PlacementStrategy, Room, TaskFeatures, TaskOutcome,
-    TaskToPlace, WorkerBand, WorkerBandState, WorkerIndex, WorkerView,
+    FOREVER, FleetBands, LearnedDistributions, PlacementError, PlacementSettings, PlacementStrategy, RankedTask, Room, Score, TaskFeatures,
+    TaskOutcome, TaskToPlace, WorkerBand, WorkerBandState, WorkerIndex, WorkerView,
 };
 pub use minicbor::{Decode, Encode};
 pub use replicated_log::prelude::{
@@ -51,8 +52,9 @@
 pub use crate::ledger::{Answer, Ledger};
 pub use crate::peer_frame::PeerFrame;
 pub use crate::planning::{
-    GangReservation, GangReservations, PlacementPolicies, PlannedRound, PlannedStarts, PlannerMemory, Preemption, RackWaits,
-    ReservedWorkers, RoundBook, StartPlanner, StepPlacement, UnknownPolicy, WideShapes, WorkerChoice, zone_allowance,
+    Candidate, CandidateQueue, EligibleWorkers, GangReservation, GangReservations, PlacementPolicies, PlannedRound, PlannedStarts,
+    PlannerMemory, Preemption, Preference, RackWaits, RackWorkers, ReservedWorkers, RoundBook, StartPlanner, StepPlacement, UnknownPolicy,
+    WideShapes, WorkerChoice, zone_allowance,
 };
 pub(crate) use crate::planning::{SLOW_RATIO, is_sound};
 pub(crate) use crate::queries::patch_of;
