Judge a gateway's silence by what has been read, and answer pulses before what waits

Cause: a leader that is behind reads a gateway's frames late and takes the delay, which is its own, for the gateway's silence: gateways were declared lost while their pulses waited in the leader's queue, and channels were given up as stale by the time at which a frame was read.

Change: silence, staleness and callers' time count from the frame's arrival; a gateway is lost only when nothing of it is among what has been read, up to the time to which all was read (ReadProgress: only a process that waited with nothing left to read is up to date). Pulses have a way of their own past what waits, as their senders give up a channel whose echo is late; nothing a pulse asks for depends on what was sent before it.

--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -143,17 +143,17 @@
             return Vec::new();
         }
         match input {
-            SchedulerInput::Tick { wall_ms, .. } => {
+            SchedulerInput::Tick { wall_ms, read_to } => {
                 let wall_ms = self.wall.read(now, wall_ms);
                 self.drive(now, Input::Tick { wall_ms });
-                self.tick(now);
+                self.tick(now, read_to);
             }
             SchedulerInput::Peer(b) => self.peer(now, &b),
             SchedulerInput::Persisted(ticket) => self.drive(now, Input::Persisted { ticket }),
             SchedulerInput::GatewayUp(_) => {}
             SchedulerInput::Call { call, time_budget_ms, body } => self.call(now, call, time_budget_ms, *body),
             SchedulerInput::Leave => self.leave(now),
-            SchedulerInput::Gateway { channel, frame, .. } => self.gateway(now, channel, *frame),
+            SchedulerInput::Gateway { channel, arrived_at, frame } => self.gateway(now, channel, arrived_at, *frame),
             SchedulerInput::GatewayDown(c) => self.gateway_down(now, c),
         }
         self.settle(now);
@@ -359,8 +359,9 @@
         Some(wall_ms)
     }
 
-    /// The leader's regular duties.
-    pub(crate) fn tick(&mut self, now: Millis) {
+    /// The leader's regular duties. A gateway is silent when nothing of it had arrived among what has been read: what a leader
+    /// that is behind hasn't read yet may be its word.
+    pub(crate) fn tick(&mut self, now: Millis, read_to: Millis) {
         self.greet(now);
         if !self.is_serving(now) {
             return;
@@ -369,7 +370,7 @@
         let silent: Vec<(Name, u64)> = self
             .heard
             .iter()
-            .filter(|(_, h)| now.saturating_sub(h.1) > self.settings.gateway_silence_ms)
+            .filter(|(_, h)| read_to.saturating_sub(h.1) > self.settings.gateway_silence_ms)
             .map(|(n, h)| (n.clone(), h.0))
             .collect();
         for (name, instance) in silent {
--- a/crates/scheduler-core/src/scheduler_sessions.rs
+++ b/crates/scheduler-core/src/scheduler_sessions.rs
@@ -22,7 +22,8 @@
         v
     }
 
-    pub(crate) fn gateway(&mut self, now: Millis, c: ChannelId, f: GatewayFrame) {
+    /// A gateway's frame. Its silence and its callers' time count from the frame's arrival, not from when it is read.
+    pub(crate) fn gateway(&mut self, now: Millis, c: ChannelId, arrived_at: Millis, f: GatewayFrame) {
         if !self.is_serving(now) {
             let frame = self.not_leader();
             self.sessions.remove(&c);
@@ -47,13 +48,13 @@
                 ordered: view,
                 scanned: view,
                 configuration,
-                heard_at: now,
+                heard_at: arrived_at,
                 flushed_at: 0,
                 reports: VecDeque::new(),
                 reported: 0,
             };
             self.sessions.insert(c, session);
-            self.heard.insert(name.clone(), (instance, now));
+            self.heard.insert(name.clone(), (instance, arrived_at));
             let log_time_ms = self.replica.log_time(now);
             let attached =
                 SchedulerFrame::Attached { node: self.replica.id(), term: self.replica.term(), log_time_ms, schedulers: self.addresses() };
@@ -67,7 +68,7 @@
         let log_time_ms = self.replica.log_time(now);
         // A gateway gives up a channel that was silent for half of this: what comes after was stuck on its way, and an
         // order among it could undo a newer one that came another way.
-        let stale = |s: &GatewaySession| now.saturating_sub(s.heard_at) > self.settings.gateway_silence_ms / STALE_PART;
+        let stale = |s: &GatewaySession| arrived_at.saturating_sub(s.heard_at) > self.settings.gateway_silence_ms / STALE_PART;
         if self.sessions.get(&c).is_some_and(stale) {
             self.sessions.remove(&c);
         }
@@ -76,10 +77,10 @@
             self.send_gateway(c, frame);
             return;
         };
-        s.heard_at = now;
+        s.heard_at = s.heard_at.max(arrived_at);
         let name = s.name.clone();
         if let Some(h) = self.heard.get_mut(&name) {
-            h.1 = now;
+            h.1 = h.1.max(arrived_at);
         }
         match f {
             GatewayFrame::Attach { .. } => {}
@@ -95,7 +96,7 @@
                     }
                 }
             }
-            GatewayFrame::Ask { request, time_budget_ms, body } => self.ask(now, (c, request), now + time_budget_ms, body),
+            GatewayFrame::Ask { request, time_budget_ms, body } => self.ask(now, (c, request), arrived_at + time_budget_ms, body),
             GatewayFrame::Facts { report, facts } => {
                 if report <= s.reported {
                     return;
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -108,13 +108,14 @@
 
         let budget = Duration::from_millis(c.log.election_timeout_ms);
         let listener = listen(self.settings.listen_internal).await.context(crate::daemon_error::PlumbingSnafu)?;
-        let (tx, mut rx) = mpsc::channel::<Incoming>(INBOX);
-        let (door_tx, clock) = (tx.clone(), self.clock);
+        let (rest, mut rx) = mpsc::channel::<Incoming>(INBOX);
+        let (pulses, mut pulse_rx) = mpsc::channel::<Incoming>(INBOX);
+        let (inlets, clock) = (Inlets { pulses, rest }, self.clock);
         tokio::spawn(async move {
             for id in 1.. {
                 match listener.next().await {
                     Ok(incoming) => {
-                        tokio::spawn(read(id, incoming, budget, clock, door_tx.clone()));
+                        tokio::spawn(read(id, incoming, budget, clock, inlets.clone()));
                     }
                     Err(_) => {
                         counter!("accept_errors_total").increment(1);
@@ -143,15 +144,18 @@
         let mut metrics_at = 0;
         let mut dropped_told = LossNews::default();
         let mut leaving: Option<Millis> = None;
+        let mut progress = ReadProgress::default();
         loop {
-            let input = tokio::select! {
+            let from = self.clock.now();
+            let mut input = tokio::select! {
                 biased;
                 () = &mut stop, if leaving.is_none() => {
                     leaving = Some(self.clock.now() + c.log.election_timeout_ms / LEAVE_PART);
                     SchedulerInput::Leave
                 }
                 i = disk_rx.recv() => i.context(crate::daemon_error::DiskGoneSnafu)?,
-                _ = ticks.tick() => SchedulerInput::Tick { wall_ms: wall_ms(), read_to: self.clock.now() },
+                _ = ticks.tick() => SchedulerInput::Tick { wall_ms: wall_ms(), read_to: 0 },
+                Some(Incoming::Input(pulse)) = pulse_rx.recv() => pulse,
                 i = rx.recv() => match i {
                     None => break,
                     Some(Incoming::Door(id, inbox)) => {
@@ -166,10 +170,17 @@
                     SchedulerInput::Call { call: last_call, time_budget_ms: e.time_budget_ms, body: Box::new(e.body) }
                 }
             };
-            if let SchedulerInput::GatewayDown(id) = &input {
-                doors.close(*id);
-            }
             let began = self.clock.now();
+            progress.waited(from, began, rx.is_empty() && pulse_rx.is_empty());
+            match &mut input {
+                SchedulerInput::GatewayDown(id) => doors.close(*id),
+                // A pulse overtakes what waits, so it says nothing of how far that has been read.
+                SchedulerInput::Gateway { arrived_at, frame, .. } if !matches!(**frame, GatewayFrame::Pulse { .. }) => {
+                    progress.read(*arrived_at);
+                }
+                SchedulerInput::Tick { read_to, .. } => *read_to = progress.read_to(),
+                _ => {}
+            }
             let kind = input.kind();
             let effects = core.step(began, input);
             trace.tell(&core, began);
--- a/crates/scheduler/src/gateway_doors.rs
+++ b/crates/scheduler/src/gateway_doors.rs
@@ -42,8 +42,19 @@
     Input(SchedulerInput),
 }
 
+/// Where what channels bring goes. A pulse has a way of its own past what waits: it asks whether this process is there, and its
+/// sender gives the channel up when the answer takes long. It needs nothing that was sent before it on its channel.
+#[derive(Clone)]
+pub struct Inlets {
+    /// Pulses of gateways.
+    pub pulses: mpsc::Sender<Incoming>,
+    /// All else.
+    pub rest: mpsc::Sender<Incoming>,
+}
+
 /// Reads one incoming channel, of a gateway or of a scheduler, until it ends.
-pub async fn read(id: ChannelId, incoming: IncomingChannel, budget: Duration, clock: MonotonicClock, tx: mpsc::Sender<Incoming>) {
+pub async fn read(id: ChannelId, incoming: IncomingChannel, budget: Duration, clock: MonotonicClock, inlets: Inlets) {
+    let tx = &inlets.rest;
     let Ok(Channel { protocol, sink, mut stream, .. }) = incoming.open(budget).await else { return };
     let inbox = ChannelInbox::spawn(sink, INBOX_FRAMES);
     if protocol == GATEWAY_PROTOCOL {
@@ -61,9 +72,15 @@
             () = inbox.closed() => None,
         };
         let Some(Ok(b)) = b else { break };
+        let mut inlet = &inlets.rest;
         let input = match protocol {
             GATEWAY_PROTOCOL => match GatewayFrame::from_bytes(&b) {
-                Ok(f) => SchedulerInput::Gateway { channel: id, arrived_at: clock.now(), frame: Box::new(f) },
+                Ok(f) => {
+                    if matches!(f, GatewayFrame::Pulse { .. }) {
+                        inlet = &inlets.pulses;
+                    }
+                    SchedulerInput::Gateway { channel: id, arrived_at: clock.now(), frame: Box::new(f) }
+                }
                 Err(e) => {
                     warn!(error = %e, "a gateway's frame can't be read: its channel is dropped");
                     counter!("unreadable_frames_total").increment(1);
@@ -72,7 +89,7 @@
             },
             _ => SchedulerInput::Peer(b.to_vec()),
         };
-        if tx.send(Incoming::Input(input)).await.is_err() {
+        if inlet.send(Incoming::Input(input)).await.is_err() {
             return;
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,5 +9,6 @@
 mod event_trace;
 mod gateway_doors;
 mod peer_links;
+mod read_progress;
 
 pub use prelude::*;
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -35,5 +35,6 @@
 pub use crate::disk_writer::DiskWriter;
 pub(crate) use crate::disk_writer::FULL_RETRY;
 pub use crate::event_trace::EventTrace;
-pub use crate::gateway_doors::{GatewayDoors, Incoming, read};
+pub use crate::gateway_doors::{GatewayDoors, Incoming, Inlets, read};
 pub use crate::peer_links::PeerLinks;
+pub use crate::read_progress::ReadProgress;
