Send a leader that is behind larger reports instead of more of them

What callers saw: LOST on the large sites.

Cause, a part of it: a gateway sent a report every 20 ms whether or not the ones before were in the log, and told all of them again after each attach. 147 gateways then send up to 7,000 frames a second to a leader that is behind, which puts it further behind: work that grows while it isn't done.

Change: four reports of a gateway may be on their way; what is learned meanwhile gathers by worker and goes with the next one.

--- a/crates/gateway-core/src/fact_book.rs
+++ b/crates/gateway-core/src/fact_book.rs
@@ -1,5 +1,8 @@
 use crate::prelude::*;
 
+/// Reports on their way at once. A leader that is behind gets larger ones then, not more of them.
+const OPEN_REPORTS: usize = 4;
+
 /// What of a worker's facts may be told now, as its boot stands.
 fn worth(f: &WorkerFacts, share: &WorkerShare) -> Option<WorkerFacts> {
     match share.standing(&f.worker, &f.boot_id) {
@@ -67,9 +70,9 @@
         self.next.values().map(FactLine::len).sum()
     }
 
-    /// The next report, when it is due: at once after a pause, else in batches.
+    /// The next report, when it is due: at once after a pause, else in batches; not while as many as may be are on their way.
     pub fn report(&mut self, now: Millis, s: &GatewaySettings, share: &WorkerShare) -> Option<GatewayFrame> {
-        if self.next.is_empty() {
+        if self.next.is_empty() || self.told.len() >= OPEN_REPORTS {
             return None;
         }
         let size = self.gathered();
