--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -16,8 +16,9 @@
 const PEERS_RATIO: u64 = 4;
 /// A worker's only overdue task gets this many times the limit.
 const LONE_PATIENCE: u64 = 4;
-/// Events kept in memory, as a ratio to the finished jobs kept.
-const JOURNAL_RATIO: u64 = 4;
+/// Events kept in memory, as a ratio to the finished jobs kept: some seconds of a large fleet's, so that a gateway which was cut off for
+/// so long gets a difference.
+const JOURNAL_RATIO: u64 = 1;
 
 impl Ledger {
     /// A ledger over a state, with an empty journal.
