Build gateways' updates once for all that have been told as much

Change: what is urgent in the news is sorted out once a pass and by gateway; a ViewBuilder works out the news of jobs once for each view number and the orders once, by the gateway that they concern; a step without news and without a due flush looks at no gateway. What a gateway gets is the same.

--- a/crates/scheduler-core/benches/leader_second.rs
+++ b/crates/scheduler-core/benches/leader_second.rs
@@ -198,8 +198,9 @@
     fn update(&mut self) {
         let began = Instant::now();
         let last = self.ledger.journal.last();
+        let mut builder = ViewBuilder::new(&self.ledger);
         for (name, seen) in &mut self.sessions {
-            let updates = self.ledger.updates(name, 7, (*seen, *seen), 0, true);
+            let updates = builder.updates(name, 7, (*seen, *seen), 0, true);
             std::hint::black_box(updates);
             *seen = last;
         }
--- a/crates/scheduler-core/src/gateway_session.rs
+++ b/crates/scheduler-core/src/gateway_session.rs
@@ -46,32 +46,3 @@
     /// All news.
     All,
 }
-
-impl GatewaySession {
-    /// Which news can't wait for the next flush: orders for this gateway, and ends of jobs, which callers ask for.
-    pub fn wanted_flush(&self, state: &ClusterState, events: impl Iterator<Item = impl Borrow<Event>>) -> Flush {
-        let t = &state.tables;
-        let mine = |w: &WorkerIndex| t.workers.get(w).is_some_and(|w| w.gateway.as_ref() == Some(&self.name));
-        let mut wanted = Flush::Later;
-        for e in events {
-            let order = match e.borrow() {
-                Event::AttemptIntended { worker, .. } => mine(worker),
-                Event::StopWanted { task, .. } => t.attempts.get(task).is_some_and(|a| mine(&a.worker)),
-                Event::WorkerKnown { worker, .. }
-                | Event::WorkerReborn { worker, .. }
-                | Event::WorkerShared { worker, .. }
-                | Event::WorkerDraining { worker, .. }
-                | Event::OrphanSeen { worker, .. } => mine(worker),
-                Event::ConfigurationChanged { .. } | Event::ZoneEvacuated { .. } => true,
-                _ => false,
-            };
-            if matches!(e.borrow(), Event::JobOver { .. }) {
-                return Flush::All;
-            }
-            if order {
-                wanted = Flush::Orders;
-            }
-        }
-        wanted
-    }
-}
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -23,6 +23,8 @@
     pub(crate) launched_at: Millis,
     pub(crate) halted: bool,
     pub(crate) dirty: bool,
+    /// How far gateways have been told the news.
+    pub(crate) flushed: FlushProgress,
     pub(crate) planned_at: Millis,
     pub(crate) planner_memory: PlannerMemory,
     pub(crate) peers: BTreeMap<u64, PeerMember>,
@@ -103,6 +105,7 @@
             launched_at: 0,
             halted: false,
             dirty: true,
+            flushed: FlushProgress::default(),
             planned_at: 0,
             planner_memory: PlannerMemory::default(),
             peers: BTreeMap::new(),
--- a/crates/scheduler-core/src/scheduler_sessions.rs
+++ b/crates/scheduler-core/src/scheduler_sessions.rs
@@ -54,6 +54,7 @@
                 reported: 0,
             };
             self.sessions.insert(c, session);
+            self.flushed.start_over();
             self.heard.insert(name.clone(), (instance, arrived_at));
             let log_time_ms = self.replica.log_time(now);
             let attached =
@@ -109,7 +110,10 @@
                     s.reports.push_back(OpenReport { batch: self.batch + batches.max(1), report, since: now });
                 }
             }
-            GatewayFrame::WantConfiguration => s.configuration = 0,
+            GatewayFrame::WantConfiguration => {
+                s.configuration = 0;
+                self.flushed.start_over();
+            }
         }
     }
 
@@ -125,28 +129,36 @@
     /// News to the gateways.
     pub(crate) fn flush(&mut self, now: Millis) {
         let last = self.ledger.journal.last();
+        if last == 0 || self.flushed.is_done(now, last) {
+            return;
+        }
+        let every = self.settings.view_flush_ms();
+        let configuration = self.ledger.state.configuration.version();
+        // Most gateways have been told as much as all others: what is urgent is sorted out once for them.
+        let (told_to, mut due_at) = (self.flushed.told_to, Millis::MAX);
+        let urgent = self.ledger.journal.since(told_to).map(|news| UrgentNews::of(&self.ledger.state, news));
+        let mut builder = ViewBuilder::new(&self.ledger);
         for (c, s) in &mut self.sessions {
-            let stale = s.view != last || s.configuration != self.ledger.state.configuration.version();
-            if !stale || last == 0 {
+            if s.view == last && s.configuration == configuration {
                 continue;
             }
-            let news = self.ledger.journal.since(s.scanned).filter(|_| s.ordered > 0);
-            let whole = news.is_none();
-            let wanted = match news {
-                Some(events) => s.wanted_flush(&self.ledger.state, events),
-                None => Flush::Orders,
+            let wanted = match (s.ordered, &urgent) {
+                (0, _) => None,
+                (_, Some(urgent)) if s.scanned == told_to => Some(urgent.wanted(&s.name)),
+                _ => self.ledger.journal.since(s.scanned).map(|news| UrgentNews::of(&self.ledger.state, news).wanted(&s.name)),
             };
-            let due = wanted == Flush::All || now >= s.flushed_at + self.settings.view_flush_ms();
-            if !due && wanted == Flush::Later {
+            let due = wanted == Some(Flush::All) || now >= s.flushed_at + every;
+            if !due && wanted == Some(Flush::Later) {
                 s.scanned = last;
+                due_at = due_at.min(s.flushed_at + every);
                 continue;
             }
-            if whole {
+            if wanted.is_none() {
                 let count = if s.ordered == 0 { &mut self.counters.first_views } else { &mut self.counters.overtaken_views };
                 *count += 1;
             }
             // Orders and ends of jobs go at once; other news of jobs gathers until it is due.
-            for u in self.ledger.updates(&s.name, s.record.instance, (s.view, s.ordered), s.configuration, due) {
+            for u in builder.updates(&s.name, s.record.instance, (s.view, s.ordered), s.configuration, due) {
                 if let Some(c) = &u.configuration {
                     s.configuration = c.version;
                 }
@@ -158,7 +170,11 @@
             if due {
                 s.flushed_at = now;
             }
+            if s.view != last {
+                due_at = due_at.min(s.flushed_at + every);
+            }
         }
+        self.flushed = FlushProgress { told_to: last, due_at };
     }
 
     /// Sends a frame to a gateway.
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -5,109 +5,162 @@
 /// Workers in one part of a whole view.
 const WORKERS_A_PART: usize = 32;
 
-impl Ledger {
-    /// What changed for a gateway: one update, or the parts of a whole view. `seen` numbers the last event whose news of
-    /// jobs it has, `ordered` the last whose orders it has. Without `jobs` only orders are told, and the view number stays.
-    pub fn updates(&self, gateway: &str, instance: u64, (seen, ordered): (u64, u64), configuration: u64, jobs: bool) -> Vec<ViewUpdate> {
-        match self.journal.since(seen).filter(|_| seen > 0) {
-            Some(events) => {
-                let numbered = (seen + 1..).zip(events);
-                vec![self.delta(gateway, instance, configuration, numbered, (seen, ordered), jobs)]
-            }
-            None => self.whole(gateway, instance),
-        }
+/// News of jobs, alike for all gateways that have been told as much.
+#[derive(Clone, Debug, Default)]
+struct JobNews {
+    accepted: Vec<JobSummary>,
+    changes: Vec<JobChange>,
+    forgotten: Vec<JobNumber>,
+}
+
+/// What gateways act on, by whom it concerns.
+#[derive(Clone, Debug, Default)]
+struct OrderNews<'l> {
+    starts: BTreeMap<&'l str, BTreeSet<TaskId>>,
+    stops: BTreeMap<&'l str, BTreeSet<TaskId>>,
+    orphans: BTreeMap<&'l str, BTreeSet<(WorkerIndex, AttemptId)>>,
+    gangs_settled: BTreeSet<StepId>,
+    workers: BTreeSet<WorkerIndex>,
+    workers_removed: Vec<Name>,
+    zones_changed: bool,
+}
+
+/// Builds gateways' updates from the journal. What is alike for several gateways is worked out once.
+#[derive(Debug)]
+pub struct ViewBuilder<'l> {
+    ledger: &'l Ledger,
+    /// News of jobs since a view number.
+    job_news: BTreeMap<u64, JobNews>,
+    /// Orders since an event.
+    order_news: BTreeMap<u64, OrderNews<'l>>,
+}
+
+impl<'l> ViewBuilder<'l> {
+    /// A builder over a ledger as it is now.
+    pub fn new(ledger: &'l Ledger) -> Self {
+        ViewBuilder { ledger, job_news: BTreeMap::new(), order_news: BTreeMap::new() }
     }
 
-    /// Folds the events into one update.
-    fn delta<'e>(
-        &self,
+    /// What changed for a gateway: one update, or the parts of a whole view. `seen` numbers the last event whose news of
+    /// jobs it has, `ordered` the last whose orders it has. Without `jobs` only orders are told, and the view number stays.
+    pub fn updates(
+        &mut self,
         gateway: &str,
         instance: u64,
-        configuration: u64,
-        events: impl Iterator<Item = (u64, &'e Event)>,
         (seen, ordered): (u64, u64),
-        with_jobs: bool,
-    ) -> ViewUpdate {
+        configuration: u64,
+        jobs: bool,
+    ) -> Vec<ViewUpdate> {
+        let ledger = self.ledger;
+        let kept = |from: u64| from > 0 && ledger.journal.since(from).is_some();
+        if !kept(seen) || !kept(ordered) {
+            return ledger.whole(gateway, instance);
+        }
+        let orders = self.order_news.entry(ordered).or_insert_with(|| ledger.order_news(ordered));
+        let mut update = ledger.orders_of(orders, gateway, instance);
+        update.configuration = ledger.configuration_update(configuration);
+        update.upto = seen;
+        if jobs {
+            let news = self.job_news.entry(seen).or_insert_with(|| ledger.job_news(seen));
+            update.upto = ledger.journal.last();
+            update.jobs = news.accepted.clone();
+            update.job_changes = news.changes.clone();
+            update.jobs_forgotten = news.forgotten.clone();
+        }
+        vec![update]
+    }
+}
+
+impl Ledger {
+    /// What changed for one gateway, see [`ViewBuilder::updates`].
+    pub fn updates(&self, gateway: &str, instance: u64, told: (u64, u64), configuration: u64, jobs: bool) -> Vec<ViewUpdate> {
+        ViewBuilder::new(self).updates(gateway, instance, told, configuration, jobs)
+    }
+
+    /// News of jobs since an event.
+    fn job_news(&self, seen: u64) -> JobNews {
         let s = &self.state;
-        let mut jobs = BTreeSet::new();
-        let mut accepted = BTreeSet::new();
-        let mut workers = BTreeSet::new();
-        let mut starts = BTreeSet::new();
-        let mut stops = BTreeSet::new();
-        let mut orphans = BTreeSet::new();
-        let upto = if with_jobs { self.journal.last() } else { seen };
-        let mut u = ViewUpdate { upto, log_time_ms: s.tables.log_time, ..ViewUpdate::default() };
-        for (n, e) in events {
-            let order = n > ordered;
-            match e {
-                Event::JobAccepted { spec, .. } => accepted.extend(s.names.get(&spec.name)),
-                Event::DrainOrdered { .. }
-                | Event::RulesChanged { .. }
-                | Event::JobDue { .. }
-                | Event::AttemptChecked { .. }
-                | Event::GangOut { .. }
-                | Event::GangRunOver { .. }
-                | Event::CheckpointSeen { .. }
-                | Event::WorkerLeaving { .. }
-                | Event::WorkerHoldsUp { .. }
-                | Event::StepDone { .. } => {}
+        let mut news = JobNews::default();
+        let (mut changed, mut accepted) = (BTreeSet::new(), BTreeSet::new());
+        for event in self.journal.since(seen).into_iter().flatten() {
+            match event {
+                Event::JobAccepted { spec, .. } => accepted.extend(s.names.get(&spec.name).copied()),
+                Event::JobForgotten { job } => news.forgotten.push(*job),
                 Event::JobEnding { job, .. } | Event::JobOver { job, .. } => {
-                    jobs.insert(*job);
-                }
-                Event::JobForgotten { job } if with_jobs => u.jobs_forgotten.push(*job),
-                Event::AttemptIntended { task, .. } => {
-                    jobs.insert(task.job);
-                    if order {
-                        starts.insert(*task);
-                    }
+                    changed.insert(*job);
                 }
-                Event::AttemptStarted { task, .. }
+                Event::AttemptIntended { task, .. }
+                | Event::AttemptStarted { task, .. }
                 | Event::AttemptOver { task, .. }
                 | Event::CopyDone { task }
                 | Event::CopyFailed { task } => {
-                    jobs.insert(task.job);
+                    changed.insert(task.job);
+                }
+                _ => {}
+            }
+        }
+        let summary = |job: &JobNumber| s.tables.jobs.get(job).map(|job| &job.summary);
+        news.changes = changed.difference(&accepted).filter_map(summary).map(JobChange::of).collect();
+        news.accepted = accepted.iter().filter_map(summary).cloned().collect();
+        news
+    }
+
+    /// What gateways act on since an event.
+    fn order_news(&self, ordered: u64) -> OrderNews<'_> {
+        let tables = &self.state.tables;
+        let holder = |worker: &WorkerIndex| tables.workers.get(worker).and_then(|worker| worker.gateway.as_deref());
+        let mut news = OrderNews::default();
+        for event in self.journal.since(ordered).into_iter().flatten() {
+            match event {
+                Event::AttemptIntended { task, .. } => {
+                    if let Some(attempt) = tables.attempts.get(task) {
+                        news.starts.entry(&attempt.gateway).or_default().insert(*task);
+                    }
                 }
-                // What follows is for orders alone.
-                _ if !order => {}
-                Event::JobForgotten { .. } => {}
                 Event::StopWanted { task, .. } => {
-                    stops.insert(*task);
+                    if let Some(gateway) = tables.attempts.get(task).and_then(|attempt| holder(&attempt.worker)) {
+                        news.stops.entry(gateway).or_default().insert(*task);
+                    }
                 }
-                Event::GangSettled { step } => {
-                    if s.holds_of(gateway, *step) {
-                        u.gangs_settled.push(*step);
+                Event::OrphanSeen { worker, attempt } => {
+                    if let Some(gateway) = holder(worker) {
+                        news.orphans.entry(gateway).or_default().insert((*worker, *attempt));
                     }
                 }
+                Event::GangSettled { step } => {
+                    news.gangs_settled.insert(*step);
+                }
                 Event::WorkerKnown { worker, .. }
                 | Event::WorkerReborn { worker, .. }
                 | Event::WorkerDraining { worker, .. }
                 | Event::WorkerReachable { worker, .. }
                 | Event::WorkerShared { worker, .. } => {
-                    workers.insert(*worker);
+                    news.workers.insert(*worker);
                 }
-                Event::OrphanSeen { worker, attempt } => {
-                    orphans.insert((*worker, *attempt));
-                }
-                Event::StaleFacts { .. } | Event::OrphanGone { .. } | Event::GatewayAttached { .. } | Event::GatewayLost { .. } => {}
-                Event::WorkerGone { name, .. } => u.workers_removed.push(name.clone()),
-                Event::ConfigurationChanged { .. } | Event::WallClockAgreed { .. } => {}
-                Event::ZoneEvacuated { .. } => u.evacuated_zones = Some(s.tables.evacuated.iter().cloned().collect()),
+                Event::WorkerGone { name, .. } => news.workers_removed.push(name.clone()),
+                Event::ZoneEvacuated { .. } => news.zones_changed = true,
+                _ => {}
             }
         }
-        if with_jobs {
-            let summary = |j: &JobNumber| s.tables.jobs.get(j).map(|j| &j.summary);
-            u.job_changes = jobs.difference(&accepted).filter_map(summary).map(JobChange::of).collect();
-            u.jobs = accepted.iter().filter_map(summary).cloned().collect();
-        }
-        u.starts = starts.iter().filter_map(|t| self.start_order(gateway, instance, *t)).collect();
-        let mine = |w: WorkerIndex| s.tables.workers.get(&w).is_some_and(|w| w.gateway.as_deref() == Some(gateway));
-        u.stops = stops.iter().filter_map(|t| self.stop_order(*t).filter(|o| mine(o.0))).map(|o| o.1).collect();
-        let orphans = orphans.into_iter().filter(|(w, a)| mine(*w) && s.tables.orphans.contains(&(*w, *a)));
-        u.stops.extend(orphans.map(|(w, attempt)| StopOrder::unsent(attempt, s.worker_name(w))));
-        for w in workers {
-            self.add_worker(&mut u, gateway, w);
+        news
+    }
+
+    /// One gateway's part of what gateways act on.
+    fn orders_of(&self, news: &OrderNews<'_>, gateway: &str, instance: u64) -> ViewUpdate {
+        let s = &self.state;
+        let mut u = ViewUpdate { log_time_ms: s.tables.log_time, ..ViewUpdate::default() };
+        u.workers_removed = news.workers_removed.clone();
+        u.evacuated_zones = news.zones_changed.then(|| s.tables.evacuated.iter().cloned().collect());
+        u.gangs_settled = news.gangs_settled.iter().filter(|step| s.holds_of(gateway, **step)).copied().collect();
+        let starts = news.starts.get(gateway).into_iter().flatten();
+        u.starts = starts.filter_map(|task| self.start_order(gateway, instance, *task)).collect();
+        let stops = news.stops.get(gateway).into_iter().flatten();
+        u.stops = stops.filter_map(|task| self.stop_order(*task)).collect();
+        let orphans = news.orphans.get(gateway).into_iter().flatten().filter(|orphan| s.tables.orphans.contains(orphan));
+        u.stops.extend(orphans.map(|(worker, attempt)| StopOrder::unsent(*attempt, s.worker_name(*worker))));
+        for worker in &news.workers {
+            self.add_worker(&mut u, gateway, *worker);
         }
-        u.configuration = self.configuration_update(configuration);
         u
     }
 
@@ -163,10 +216,10 @@
         })
     }
 
-    /// The stop order of an attempt that is to be stopped, and where it is.
-    fn stop_order(&self, t: TaskId) -> Option<(WorkerIndex, StopOrder)> {
+    /// The stop order of an attempt that is to be stopped.
+    fn stop_order(&self, t: TaskId) -> Option<StopOrder> {
         let a = self.state.tables.attempts.get(&t).filter(|a| a.stop.is_some())?;
-        Some((a.worker, StopOrder::unsent(AttemptId { task: t, number: a.number }, self.state.worker_name(a.worker))))
+        Some(StopOrder::unsent(AttemptId { task: t, number: a.number }, self.state.worker_name(a.worker)))
     }
 
     /// What takes a gateway from its version to the one in force.
