Read the log's messages before the load as well

Cause: acknowledgements of the log waited behind gateways' frames. The lease lasts 280 ms after the message that a quorum has acknowledged, so a leader that is 280 ms behind its gateways loses its lease, and with it the service, though its quorum is there.

Change: messages of schedulers go the way of the pulses, in their own order; nothing of a gateway's depends on them.

--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -109,8 +109,8 @@
         let budget = Duration::from_millis(c.log.election_timeout_ms);
         let listener = listen(self.settings.listen_internal).await.context(crate::daemon_error::PlumbingSnafu)?;
         let (rest, mut rx) = mpsc::channel::<Incoming>(INBOX);
-        let (pulses, mut pulse_rx) = mpsc::channel::<Incoming>(INBOX);
-        let (inlets, clock) = (Inlets { pulses, rest }, self.clock);
+        let (first, mut first_rx) = mpsc::channel::<Incoming>(INBOX);
+        let (inlets, clock) = (Inlets { first, rest }, self.clock);
         tokio::spawn(async move {
             for id in 1.. {
                 match listener.next().await {
@@ -155,7 +155,7 @@
                 }
                 i = disk_rx.recv() => i.context(crate::daemon_error::DiskGoneSnafu)?,
                 _ = ticks.tick() => SchedulerInput::Tick { wall_ms: wall_ms(), read_to: 0 },
-                Some(Incoming::Input(pulse)) = pulse_rx.recv() => pulse,
+                Some(Incoming::Input(i)) = first_rx.recv() => i,
                 i = rx.recv() => match i {
                     None => break,
                     Some(Incoming::Door(id, inbox)) => {
@@ -171,7 +171,7 @@
                 }
             };
             let began = self.clock.now();
-            progress.waited(from, began, rx.is_empty() && pulse_rx.is_empty());
+            progress.waited(from, began, rx.is_empty() && first_rx.is_empty());
             match &mut input {
                 SchedulerInput::GatewayDown(id) => doors.close(*id),
                 // A pulse overtakes what waits, so it says nothing of how far that has been read.
--- a/crates/scheduler/src/gateway_doors.rs
+++ b/crates/scheduler/src/gateway_doors.rs
@@ -42,12 +42,13 @@
     Input(SchedulerInput),
 }
 
-/// Where what channels bring goes. A pulse has a way of its own past what waits: it asks whether this process is there, and its
-/// sender gives the channel up when the answer takes long. It needs nothing that was sent before it on its channel.
+/// Where what channels bring goes. What keeps the cluster together has a way of its own past the load: the log's messages, on
+/// which the lease rests, and pulses, whose senders give the channel up when the echo takes long. A pulse needs nothing that was
+/// sent before it on its channel.
 #[derive(Clone)]
 pub struct Inlets {
-    /// Pulses of gateways.
-    pub pulses: mpsc::Sender<Incoming>,
+    /// Messages of schedulers, in their order, and pulses of gateways.
+    pub first: mpsc::Sender<Incoming>,
     /// All else.
     pub rest: mpsc::Sender<Incoming>,
 }
@@ -77,7 +78,7 @@
             GATEWAY_PROTOCOL => match GatewayFrame::from_bytes(&b) {
                 Ok(f) => {
                     if matches!(f, GatewayFrame::Pulse { .. }) {
-                        inlet = &inlets.pulses;
+                        inlet = &inlets.first;
                     }
                     SchedulerInput::Gateway { channel: id, arrived_at: clock.now(), frame: Box::new(f) }
                 }
@@ -87,7 +88,10 @@
                     break;
                 }
             },
-            _ => SchedulerInput::Peer(b.to_vec()),
+            _ => {
+                inlet = &inlets.first;
+                SchedulerInput::Peer(b.to_vec())
+            }
         };
         if inlet.send(Incoming::Input(input)).await.is_err() {
             return;
