Keep gateways with a leader whose lease lapses for a moment

Any frame that a gateway sent in such a moment was answered with not-leader, and its session dropped; it attached again and got its whole view from the start, half a megabyte over a link of 2 Mbit/s, which keeps leader and links busy.

Change: a leader that leads but has no lease at the moment, or hasn't applied what was committed before, tells gateways nothing and holds their frames; when the lease is back they are carried out in order, and when the lead is lost their senders are told. Pulses count as heard and get no echo.

--- a/crates/scheduler-core/src/lib.rs
+++ b/crates/scheduler-core/src/lib.rs
@@ -15,6 +15,7 @@
 mod fold;
 mod gateway_session;
 mod halt_reason;
+mod held_frame;
 mod job;
 mod journal;
 mod ledger;
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -48,6 +48,7 @@
 pub use crate::flush_progress::FlushProgress;
 pub use crate::gateway_session::{Flush, GatewaySession, OpenReport};
 pub use crate::halt_reason::HaltReason;
+pub use crate::held_frame::HeldFrame;
 pub use crate::job::{Job, Occurrence, Step, Task, job_digest};
 pub use crate::journal::Journal;
 pub use crate::ledger::{Answer, Ledger};
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -12,6 +12,8 @@
     pub(crate) replica: Replica<ChaCha8Rng>,
     pub(crate) ledger: Ledger,
     pub(crate) sessions: BTreeMap<ChannelId, GatewaySession>,
+    /// Frames of gateways that wait for the lease.
+    pub(crate) held: VecDeque<HeldFrame>,
     /// Commands to propose.
     pub(crate) inbox: VecDeque<QueuedCommand>,
     pub(crate) flights: BTreeMap<u64, BatchInLog>,
@@ -97,6 +99,7 @@
             replica,
             ledger: Ledger::new(state),
             sessions: BTreeMap::new(),
+            held: VecDeque::new(),
             inbox: VecDeque::new(),
             flights: BTreeMap::new(),
             batch: 0,
@@ -280,7 +283,9 @@
         self.leading = None;
         self.end_own_calls();
         let frame = self.not_leader();
-        for (c, _) in std::mem::take(&mut self.sessions) {
+        let mut channels: BTreeSet<ChannelId> = std::mem::take(&mut self.sessions).into_keys().collect();
+        channels.extend(std::mem::take(&mut self.held).into_iter().map(|held| held.channel));
+        for c in channels {
             self.send_gateway(c, frame.clone());
         }
         self.effects.push(SchedulerEffect::Leading(None));
--- a/crates/scheduler-core/src/scheduler_rounds.rs
+++ b/crates/scheduler-core/src/scheduler_rounds.rs
@@ -58,6 +58,7 @@
         if !self.is_serving(now) {
             return;
         }
+        self.release_held(now);
         self.plan(now);
         // After a pause a command leaves at once; under load they gather, since each entry has its price in messages and
         // syncs.
--- a/crates/scheduler-core/src/scheduler_sessions.rs
+++ b/crates/scheduler-core/src/scheduler_sessions.rs
@@ -4,6 +4,8 @@
 
 /// After this part of a gateway's silence its channel is given up, by the gateway as well.
 const STALE_PART: u64 = 2;
+/// Frames that wait for the lease at most.
+const MOST_HELD: usize = 8_192;
 /// A gateway whose channel broke has this part of a silence to attach again.
 const REATTACH_PART: u64 = 4;
 
@@ -24,6 +26,9 @@
 
     /// A gateway's frame. Its silence and its callers' time count from the frame's arrival, not from when it is read.
     pub(crate) fn gateway(&mut self, now: Millis, c: ChannelId, arrived_at: Millis, f: GatewayFrame) {
+        if self.leading.is_some() && !self.is_serving(now) && self.held.len() < MOST_HELD {
+            return self.hold_frame(c, arrived_at, f);
+        }
         if !self.is_serving(now) {
             let frame = self.not_leader();
             self.sessions.remove(&c);
@@ -117,8 +122,30 @@
         }
     }
 
+    /// A frame that came while this scheduler leads but has no lease, or hasn't applied what was committed before. Both are over in a
+    /// moment as a rule; a gateway that was sent away would ask for all it knows anew. Until then it is told nothing, not even that this
+    /// one is there.
+    fn hold_frame(&mut self, channel: ChannelId, arrived_at: Millis, frame: GatewayFrame) {
+        if let (GatewayFrame::Pulse { .. }, Some(s)) = (&frame, self.sessions.get_mut(&channel)) {
+            s.heard_at = s.heard_at.max(arrived_at);
+            if let Some(h) = self.heard.get_mut(&s.name) {
+                h.1 = h.1.max(arrived_at);
+            }
+            return;
+        }
+        self.held.push_back(HeldFrame { channel, arrived_at, frame });
+    }
+
+    /// Carries out what waited for the lease.
+    pub(crate) fn release_held(&mut self, now: Millis) {
+        for HeldFrame { channel, arrived_at, frame } in std::mem::take(&mut self.held) {
+            self.gateway(now, channel, arrived_at, frame);
+        }
+    }
+
     /// A gateway's channel is gone: a process that ended won't come back on it, so it has little time left to attach again.
     pub(crate) fn gateway_down(&mut self, now: Millis, c: ChannelId) {
+        self.held.retain(|held| held.channel != c);
         let Some(s) = self.sessions.remove(&c) else { return };
         let patience = self.settings.gateway_silence_ms / REATTACH_PART;
         if let Some(h) = self.heard.get_mut(&s.name).filter(|h| h.0 == s.record.instance) {
