--- a/crates/scheduler-core/tests/copies_test.rs
+++ b/crates/scheduler-core/tests/copies_test.rs
@@ -130,3 +130,16 @@
     b.facts(&first, &first, |f| (f.lapsed, f.lost) = (true, vec![old]));
     assert!(b.ledger.state.tables.orphans.is_empty());
 }
+
+#[test]
+fn a_failed_end_told_again_after_a_late_word_of_its_start_counts_once() {
+    let (mut b, task, first, other) = running(true);
+    let old = b.id(task);
+    ends(&mut b, &first, old, Outcome::Failed);
+    b.plan();
+    b.facts(&first, &first, |f| f.started.push(old));
+    ends(&mut b, &first, old, Outcome::Failed);
+    let new = b.id(task);
+    ends(&mut b, &other, new, Outcome::Stopped);
+    assert_ne!(b.state("hold"), JobState::Failed, "one failure of two allowed");
+}
