Count a round's looks by purpose, tell them with slow steps, and calls that wait

Cause: `looks` counted places for tasks alone, so neither the metric nor the test of cost saw what preemption, gangs and the order of the steps cost; and how long a call of the control API waits was no metric. No logic changed.

--- a/crates/scheduler-core/src/planning/preemption.rs
+++ b/crates/scheduler-core/src/planning/preemption.rs
@@ -40,12 +40,13 @@
 
     /// Makes room for one task of so much on one of these workers, at the least loss; false when there is none to be had. Room
     /// that is on its way already is promised first.
-    pub fn make_room(&mut self, need: Room, workers: &BTreeMap<WorkerIndex, &WorkerRecord>) -> bool {
+    pub fn make_room(&mut self, need: Room, workers: &BTreeMap<WorkerIndex, &WorkerRecord>, book: &RoundBook<'_>) -> bool {
+        book.note(LookPurpose::Preemption, self.freeing.len() as u64);
         if let Some(worker) = self.on_its_way(need, workers) {
             self.promise(worker, need);
             return true;
         }
-        let offers = workers.iter().filter_map(|(i, w)| self.offer(need, *i, w));
+        let offers = workers.iter().filter_map(|(i, w)| self.offer(need, *i, w, book));
         let Some((_, worker, victims)) = offers.min_by_key(|(loss, ..)| *loss) else { return false };
         self.left -= victims.len();
         for victim in &victims {
@@ -78,8 +79,9 @@
     }
 
     /// What has to go on one worker, and what that loses.
-    fn offer(&self, need: Room, worker: WorkerIndex, w: &WorkerRecord) -> Option<(u64, WorkerIndex, Vec<TaskId>)> {
+    fn offer(&self, need: Room, worker: WorkerIndex, w: &WorkerRecord, book: &RoundBook<'_>) -> Option<(u64, WorkerIndex, Vec<TaskId>)> {
         let on = self.state.on_worker.get(&worker)?;
+        book.note(LookPurpose::Preemption, 1 + on.len() as u64);
         let mut lesser: Vec<(u64, TaskId, Room)> = on.iter().filter_map(|t| self.loss(*t).map(|(loss, room)| (loss, *t, room))).collect();
         lesser.sort_unstable_by_key(|(loss, t, _)| (*loss, *t));
         let mut free = w.room().sub(w.used);
--- a/crates/scheduler-core/src/planning/reserved_workers.rs
+++ b/crates/scheduler-core/src/planning/reserved_workers.rs
@@ -101,7 +101,8 @@
 
     /// Has lesser work leave workers alone on which a gang could run, those first that are expected to be empty first. Others of
     /// its urgency may use them meanwhile.
-    pub fn claim(&mut self, placement: &StepPlacement<'_>) {
+    pub fn claim(&mut self, placement: &StepPlacement<'_>, book: &RoundBook<'_>) {
+        book.note(LookPurpose::Reservation, placement.eligible.all().len() as u64);
         let member = placement.group.room;
         let mut left = u64::from(placement.group.gang);
         let could_ever: u64 = placement.eligible.all().values().map(|record| record.room().count_of(member).min(left)).sum();
@@ -110,6 +111,7 @@
         }
         let mut claim = GangReservation::default();
         let emptying = self.emptying.take().unwrap_or_else(|| self.emptying_workers());
+        book.note(LookPurpose::Reservation, emptying.len() as u64);
         for candidate in &emptying {
             if left == 0 {
                 break;
@@ -199,6 +201,7 @@
         let kept = self.before.get(placement.id).filter(|kept| kept.exclusive);
         let mut places: Vec<(Millis, MemberPlace)> = Vec::new();
         for (&worker, &record) in placement.eligible.all() {
+            book.note(LookPurpose::Reservation, 1 + self.state.on_worker.get(&worker).map_or(0, BTreeSet::len) as u64);
             let taken = self.by_worker.get(&worker).is_some_and(|reserved| reserved.exclusive);
             if taken || !record.health.may_try(self.now, 0) || !is_sound(record) {
                 continue;
--- a/crates/scheduler-core/src/planning/round_book.rs
+++ b/crates/scheduler-core/src/planning/round_book.rs
@@ -12,8 +12,7 @@
     zones: BTreeMap<Name, Room>,
     /// Tasks given of steps with a limit a worker.
     spread: BTreeMap<(WorkerIndex, StepId), u32>,
-    /// How often a worker was looked at for a task.
-    looks: Cell<u64>,
+    looks: Cell<RoundLooks>,
 }
 
 impl<'a> RoundBook<'a> {
@@ -25,7 +24,7 @@
             used: BTreeMap::new(),
             zones: BTreeMap::new(),
             spread: BTreeMap::new(),
-            looks: Cell::new(0),
+            looks: Cell::default(),
         }
     }
 
@@ -45,13 +44,15 @@
         self.state.tasks_of_step_on(worker, step) + self.spread.get(&(worker, step)).copied().unwrap_or(0)
     }
 
-    /// Counts a look at a worker.
-    pub fn note_look(&self) {
-        self.looks.set(self.looks.get() + 1);
+    /// Counts looks.
+    pub fn note(&self, purpose: LookPurpose, looks: u64) {
+        let mut all = self.looks.get();
+        all.note(purpose, looks);
+        self.looks.set(all);
     }
 
-    /// How often a worker was looked at for a task: what the round cost.
-    pub fn looks(&self) -> u64 {
+    /// What the round cost so far.
+    pub fn looks(&self) -> RoundLooks {
         self.looks.get()
     }
 
--- a/crates/scheduler-core/src/planning/start_planner.rs
+++ b/crates/scheduler-core/src/planning/start_planner.rs
@@ -19,8 +19,8 @@
     pub held: BTreeSet<StepId>,
     /// Room set aside for gangs.
     pub reservations: BTreeMap<StepId, GangReservation>,
-    /// How often a worker was looked at for a task: what the round cost.
-    pub looks: u64,
+    /// What the round cost.
+    pub looks: RoundLooks,
 }
 
 /// A group of alike tasks with its steps still to do, the next one last.
@@ -139,6 +139,7 @@
 
     /// The group whose turn it is.
     fn next_group(&mut self, left: &[PendingGroup<'a>]) -> Option<usize> {
+        self.book.note(LookPurpose::Ordering, left.len() as u64);
         for pending in left.iter().filter(|_| self.policies.fair_shares) {
             let queue = &pending.group.queue;
             if !self.weights.contains_key(queue) {
@@ -203,7 +204,7 @@
         }
         let expected_ms = placement.ranked.exit.saturating_sub(self.now);
         if !self.reserved.reserve(placement, &self.book, expected_ms) && self.policies.gang_claims {
-            self.reserved.claim(placement);
+            self.reserved.claim(placement, &self.book);
         }
     }
 
@@ -211,6 +212,7 @@
     fn service_use_ppm(&mut self, service: &Name) -> u64 {
         let workers = &self.state.tables.workers;
         *self.service_use.entry(service.clone()).or_insert_with(|| {
+            self.book.note(LookPurpose::Reservation, workers.len() as u64);
             let of_service = workers.values().filter(|worker| worker.told.service == *service);
             let (room, used) = of_service
                 .fold((Room::default(), Room::default()), |(room, used), worker| (room.add(worker.room()), used.add(worker.used)));
@@ -328,7 +330,7 @@
         self.awaited_racks.insert(rack);
         if self.policies.preemption {
             let workers = self.trusted(placement, |w| w.told.rack == *rack && is_sound(w));
-            self.preemption.make_room(placement.group.room, &workers);
+            self.preemption.make_room(placement.group.room, &workers, &self.book);
         }
     }
 
@@ -339,7 +341,7 @@
         }
         let workers = self.trusted(placement, |w| w.pace.ratio <= SLOW_RATIO);
         for _ in 0..waiting {
-            if !self.preemption.make_room(placement.group.room, &workers) {
+            if !self.preemption.make_room(placement.group.room, &workers, &self.book) {
                 return;
             }
         }
@@ -351,6 +353,7 @@
         placement: &StepPlacement<'p>,
         within: impl Fn(&WorkerRecord) -> bool,
     ) -> BTreeMap<WorkerIndex, &'p WorkerRecord> {
+        self.book.note(LookPurpose::Preemption, placement.eligible.all().len() as u64);
         let trusted = placement.eligible.all().iter().filter(|(_, w)| w.health.may_try(self.now, 0) && within(w));
         trusted.map(|(index, w)| (*index, *w)).collect()
     }
@@ -378,7 +381,7 @@
         let queues: BTreeMap<&Name, Arc<EffectiveQueue>> =
             state.zone_room.keys().filter_map(|zone| Some((zone, state.placement_queue_settings(zone, &group.queue)?))).collect();
         let may = |worker: &WorkerRecord| {
-            book.note_look();
+            book.note(LookPurpose::Placement, 1);
             let queue = queues.get(&worker.told.zone);
             queue.is_some_and(|queue| worker.takes(queue, &group.service, &group.kinds, &group.labels))
         };
@@ -413,7 +416,7 @@
         let group = placement.group;
         let spread = group.spread.map_or(u64::MAX, |(most, _)| u64::from(most));
         let places = workers.iter().map(|(index, worker)| {
-            self.book.note_look();
+            self.book.note(LookPurpose::Placement, 1);
             self.book.free(*index, worker).count_of(group.room).min(spread)
         });
         places.fold(0, u64::saturating_add)
--- a/crates/scheduler-core/src/planning/worker_choice.rs
+++ b/crates/scheduler-core/src/planning/worker_choice.rs
@@ -89,7 +89,7 @@
 
     /// Whether a worker may and can take one more task of the step now.
     fn fits(&self, placement: &StepPlacement<'_>, worker: WorkerIndex, record: &WorkerRecord, zones: &BTreeMap<Name, u64>) -> bool {
-        self.book.note_look();
+        self.book.note(LookPurpose::Placement, 1);
         let group = placement.group;
         let left_alone = !placement.urgent && self.awaited_racks.contains(&record.told.rack);
         group.room.fits(self.book.free(worker, record))
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -5,7 +5,7 @@
 pub use std::cmp::{Ordering, Reverse};
 pub use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashSet, VecDeque};
 pub use std::fmt;
-pub use std::ops::RangeInclusive;
+pub use std::ops::{AddAssign, RangeInclusive, Sub};
 pub use std::rc::Rc;
 pub use std::sync::{Arc, LazyLock};
 
@@ -54,9 +54,9 @@
 pub use crate::ledger::{Answer, Ledger};
 pub use crate::peer_frame::PeerFrame;
 pub use crate::planning::{
-    Candidate, CandidateQueue, EligibleWorkers, GangReservation, GangReservations, PlacementPolicies, PlannedRound, PlannedStarts,
-    PlannerMemory, Preemption, Preference, RackWaits, RackWorkers, ReservedWorkers, RoundBook, StartPlanner, StepPlacement, UnknownPolicy,
-    WideShapes, WorkerChoice, zone_allowance,
+    Candidate, CandidateQueue, EligibleWorkers, GangReservation, GangReservations, LookPurpose, PlacementPolicies, PlannedRound,
+    PlannedStarts, PlannerMemory, Preemption, Preference, RackWaits, RackWorkers, ReservedWorkers, RoundBook, RoundLooks, StartPlanner,
+    StepPlacement, UnknownPolicy, WideShapes, WorkerChoice, zone_allowance,
 };
 pub(crate) use crate::planning::{SLOW_RATIO, is_sound};
 pub(crate) use crate::queries::patch_of;
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -59,8 +59,8 @@
     pub rounds: u64,
     /// Starts planned.
     pub planned: u64,
-    /// How often a worker was looked at for a task.
-    pub looks: u64,
+    /// What the rounds cost.
+    pub looks: RoundLooks,
     /// Attempts that were to make room for urgent work.
     pub preempted: u64,
     /// Updates sent to gateways.
--- a/crates/scheduler-core/tests/planner_cost_test.rs
+++ b/crates/scheduler-core/tests/planner_cost_test.rs
@@ -27,13 +27,13 @@
     let planned: usize = round.starts.iter().map(|(starts, _)| starts.len()).sum();
     let steps = (planned as u64).div_ceil(u64::from(TASKS));
     assert!(planned >= 200, "{planned} starts planned");
-    assert!(round.looks <= steps * LOOKS_A_STEP, "{} looks for {steps} steps", round.looks);
+    assert!(round.looks.total() <= steps * LOOKS_A_STEP, "{:?} for {steps} steps", round.looks);
 }
 
 #[test]
 fn a_backlog_that_no_round_can_reach_costs_no_looks() {
-    let few = waiting(STEPS).round().looks;
-    let many = waiting(10 * STEPS).round().looks;
+    let few = waiting(STEPS).round().looks.total();
+    let many = waiting(10 * STEPS).round().looks.total();
     assert!(many <= few + LOOKS_A_STEP, "{few} looks with {STEPS} steps waiting, {many} with ten times as many");
 }
 
@@ -50,5 +50,5 @@
     bench.submit(spec);
     let round = bench.round();
     assert_eq!(round.starts.iter().map(|(starts, _)| starts.len()).sum::<usize>(), 64);
-    assert!(round.looks <= 2 * LOOKS_A_STEP, "{} looks", round.looks);
+    assert!(round.looks.total() <= 2 * LOOKS_A_STEP, "{:?}", round.looks);
 }
--- a/crates/scheduler/src/control_port.rs
+++ b/crates/scheduler/src/control_port.rs
@@ -6,6 +6,8 @@
 /// A call that came in at this process, on its way to the core.
 #[derive(Debug)]
 pub struct ControlCallEvent {
+    /// When it came in, by this machine's clock.
+    pub arrived_at: Millis,
     /// What is left of the caller's time.
     pub time_budget_ms: Millis,
     /// The call.
@@ -20,14 +22,15 @@
     calls: mpsc::Sender<ControlCallEvent>,
     leader: Arc<ArcSwapOption<SocketAddr>>,
     hint_ms: Millis,
+    clock: MonotonicClock,
 }
 
 impl ControlPort {
     /// A port, the end that the core's task reads, and where that tells who leads.
-    pub fn new(hint_ms: Millis) -> (Self, mpsc::Receiver<ControlCallEvent>, Arc<ArcSwapOption<SocketAddr>>) {
+    pub fn new(hint_ms: Millis, clock: MonotonicClock) -> (Self, mpsc::Receiver<ControlCallEvent>, Arc<ArcSwapOption<SocketAddr>>) {
         let (calls, inbox) = mpsc::channel(CALLS);
         let leader = Arc::new(ArcSwapOption::empty());
-        (ControlPort { calls, leader: leader.clone(), hint_ms }, inbox, leader)
+        (ControlPort { calls, leader: leader.clone(), hint_ms, clock }, inbox, leader)
     }
 
     /// Asks, and waits for the one final answer.
@@ -37,7 +40,7 @@
     pub async fn ask<C: ControlCall>(&self, time_budget_ms: Millis, call: C) -> CallResult<C::Answer> {
         let (reply, answer) = oneshot::channel();
         let shed = || CallError::Shed { limit: "scheduler's calls".into(), retry_after_ms: self.hint_ms };
-        let event = ControlCallEvent { time_budget_ms, body: call.into_body(), reply };
+        let event = ControlCallEvent { arrived_at: self.clock.now(), time_budget_ms, body: call.into_body(), reply };
         self.calls.try_send(event).map_err(|_| shed())?;
         let spent = CallError::TimeBudgetSpent { retry_after_ms: self.hint_ms };
         let answered = timeout(Duration::from_millis(time_budget_ms), answer).await;
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -130,7 +130,7 @@
         let disk = DiskWriter::start(storage, disk_tx)?;
         let stop = shutdown_signal().context(crate::daemon_error::PlumbingSnafu)?;
         tokio::pin!(stop);
-        let (port, mut calls, leader) = ControlPort::new(c.log.election_timeout_ms);
+        let (port, mut calls, leader) = ControlPort::new(c.log.election_timeout_ms, self.clock);
         tokio::spawn(pages(self.settings.listen_http, self.surface.routes(port, self.page.clone())));
         let mut replies: BTreeMap<u64, oneshot::Sender<CallResult<AnswerBody>>> = BTreeMap::new();
         let mut last_call = 0;
@@ -165,6 +165,8 @@
                     Some(Incoming::Input(i)) => i,
                 },
                 Some(e) = calls.recv() => {
+                    let waited_ms = self.clock.now().saturating_sub(e.arrived_at);
+                    gauge!("scheduler_call_wait_ms").set(waited_ms as f64);
                     last_call += 1;
                     replies.insert(last_call, e.reply);
                     SchedulerInput::Call { call: last_call, time_budget_ms: e.time_budget_ms, body: Box::new(e.body) }
@@ -182,11 +184,14 @@
                 _ => {}
             }
             let kind = input.kind();
+            let looked = core.counters.looks;
             let effects = core.step(began, input);
             trace.tell(&core, began);
             let took = self.clock.now() - began;
             if took > c.log.election_timeout_ms / SLOW_STEP_PART {
-                info!(took_ms = took, kind, "slow step");
+                let looks = core.counters.looks - looked;
+                let waiting_calls = calls.len();
+                info!(took_ms = took, kind, ?looks, waiting_calls, "slow step");
             }
             for e in effects {
                 match e {
@@ -226,6 +231,7 @@
             if now >= metrics_at {
                 metrics_at = now + METRICS_TIMEOUTS * c.log.election_timeout_ms;
                 publish(&core, now);
+                gauge!("scheduler_calls_waiting").set(calls.len() as f64);
                 dropped_told.tell(&core);
             }
         }
@@ -294,7 +300,11 @@
         ("scheduler_shed_total", n.shed),
         ("scheduler_placement_rounds_total", n.rounds),
         ("scheduler_starts_planned_total", n.planned),
-        ("scheduler_planner_looks_total", n.looks),
+        ("scheduler_planner_looks_total", n.looks.total()),
+        ("scheduler_planner_ordering_looks_total", n.looks.ordering),
+        ("scheduler_planner_placement_looks_total", n.looks.placement),
+        ("scheduler_planner_reservation_looks_total", n.looks.reservation),
+        ("scheduler_planner_preemption_looks_total", n.looks.preemption),
         ("scheduler_preempted_total", n.preempted),
         ("scheduler_updates_total", n.updates),
         ("scheduler_malformed_frames_total", n.malformed + l.malformed),
