Commit tests of what a round over a backlog costs, failing, known red

1,000 unlike steps that fit nowhere cost 1.6 to 6.0 million looks a round over 1,100 workers, where a tenth of an election timeout at 0.6 of a core has time for 70,000 (0.3 us a look).

--- a/crates/scheduler-core/tests/planner_cost_test.rs
+++ b/crates/scheduler-core/tests/planner_cost_test.rs
@@ -10,6 +10,16 @@
 const TASKS: u32 = 13;
 /// Looks at workers for each step: one at each, and some for the workers that were given to its tasks.
 const LOOKS_A_STEP: u64 = 2 * WORKERS as u64;
+/// Looks in the tenth of an election timeout of 350 ms that a step may take, at 0.6 of a core and 0.3 us a look.
+const LOOKS_A_ROUND: u64 = 70_000;
+/// What the step that is planned when a round's looks are spent may still cost: each worker once, and each task that runs.
+const LOOKS_OF_THE_LAST_STEP: u64 = 8 * WORKERS as u64;
+/// Unlike steps that wait at once.
+const BACKLOG: u64 = 1_000;
+/// Urgency from which work may stop lesser work.
+const URGENT: u8 = 3;
+/// Work of this age isn't stopped for urgent work: too much of it would be lost.
+const OLD_MS: Millis = 5_000;
 
 fn waiting(steps: u64) -> Bench {
     let mut bench = Bench::new(WORKERS);
@@ -52,3 +62,72 @@
     assert_eq!(round.starts.iter().map(|(starts, _)| starts.len()).sum::<usize>(), 64);
     assert!(round.looks.total() <= 2 * LOOKS_A_STEP, "{:?}", round.looks);
 }
+
+/// A fleet that is full with lesser work that runs since so long.
+fn full_fleet(age: Millis) -> Bench {
+    let mut bench = Bench::new(WORKERS);
+    bench.command_ms = 0;
+    bench.ledger.state.tables.rules.urgent_from = URGENT;
+    for n in 0..WORKERS {
+        let mut spec = JobSpec::single(&format!("running-{n}"), "q", "s", 2, 4_000, 8_000);
+        spec.urgency = Some(0);
+        let job = bench.submit(spec);
+        let starts: Vec<(TaskId, WorkerIndex)> = (0..2).map(|task| (TaskId::new(job, 0, task), n as WorkerIndex)).collect();
+        for start in &starts {
+            bench.one(Command::Start { starts: vec![*start], gang: false });
+        }
+        for (task, _) in starts {
+            bench.started(task);
+        }
+    }
+    bench.now += age;
+    bench
+}
+
+/// Unlike steps, each smaller than those before, so that no refusal speaks for the next one.
+fn wait_smaller_and_smaller(bench: &mut Bench, change: impl Fn(&mut JobSpec)) {
+    for n in 0..BACKLOG {
+        let mut spec = JobSpec::single(&format!("waiting-{n}"), "q", "s", 4, 3_900 - n, 7_900 - n);
+        change(&mut spec);
+        bench.submit(spec);
+    }
+}
+
+fn assert_bounded(round: &PlannedRound) {
+    assert!(round.looks.total() <= LOOKS_A_ROUND + LOOKS_OF_THE_LAST_STEP, "{:?}", round.looks);
+}
+
+#[test]
+fn unlike_steps_that_fit_nowhere_cost_a_bounded_round() {
+    let mut bench = full_fleet(OLD_MS);
+    wait_smaller_and_smaller(&mut bench, |spec| spec.urgency = Some(1));
+    assert_bounded(&bench.round());
+}
+
+#[test]
+fn urgent_steps_for_which_nothing_may_be_stopped_cost_a_bounded_round() {
+    let mut bench = full_fleet(OLD_MS);
+    wait_smaller_and_smaller(&mut bench, |spec| spec.urgency = Some(URGENT));
+    let round = bench.round();
+    assert!(round.victims.is_empty());
+    assert_bounded(&round);
+}
+
+#[test]
+fn urgent_steps_that_stop_lesser_work_cost_a_bounded_round() {
+    let mut bench = full_fleet(0);
+    wait_smaller_and_smaller(&mut bench, |spec| spec.urgency = Some(URGENT));
+    let round = bench.round();
+    assert!(!round.victims.is_empty());
+    assert_bounded(&round);
+}
+
+#[test]
+fn gangs_that_fit_nowhere_cost_a_bounded_round() {
+    let mut bench = full_fleet(OLD_MS);
+    wait_smaller_and_smaller(&mut bench, |spec| {
+        spec.urgency = Some(1);
+        spec.steps[0].gang = true;
+    });
+    assert_bounded(&bench.round());
+}
