Bound a round of placement whatever waits: refusals speak for more, and a round that cost enough is cut short

Cause: preemption gathered all trusted workers for each urgent step that fits nowhere, and worked out an offer on each of them, also once no victim could be chosen any more; steps that fit nowhere looked at all workers each; the next group was found by a walk over all groups; nothing of it was bounded by anything but what waits. Ruled out: the kind of input (slow steps of all kinds); views (the steps were slow with no view sent). Change: the index of waiting steps keeps each queue's groups in order, so a round looks at no more of them than it takes; what is refused speaks for whoever asks as much of the same workers (RefusedRooms), and a room larger than any free one is refused in one comparison; what could be stopped is worked out once a round (LesserWork), and asked of no more once no victim is left; a round that has cost 65,536 looks is cut short, goes on in the next one with the queues that had no turn, and placement pauses by what its last round cost. Reservations and waits of steps whose turn didn't come are kept.

--- a/crates/scheduler-core/src/planning/planner_memory.rs
+++ b/crates/scheduler-core/src/planning/planner_memory.rs
@@ -8,6 +8,8 @@
     pub rack_waits: RackWaits,
     /// Room set aside for gangs.
     pub reservations: GangReservations,
+    /// Where rounds that were cut short go on.
+    pub turns: RoundTurns,
 }
 
 impl PlannerMemory {
@@ -24,7 +26,8 @@
 
     /// Takes over what a round came to.
     pub fn settle(&mut self, now: Millis, round: &PlannedRound, gang_time_budget_ms: Millis) {
-        self.rack_waits.settle(now, &round.held);
+        self.rack_waits.settle(now, &round.held, round.cut);
+        self.turns = round.turns.clone();
         self.reservations.settle(now, &round.reservations, gang_time_budget_ms);
     }
 }
--- a/crates/scheduler-core/src/planning/preemption.rs
+++ b/crates/scheduler-core/src/planning/preemption.rs
@@ -2,12 +2,6 @@
 
 /// Attempts on their way out for more urgent work at most: room that is freed is used before more is.
 const MOST_OUT: usize = 12;
-/// An attempt that would lose more than this goes on.
-const MOST_LOSS_MS: Millis = 400;
-/// What a stop without a checkpoint loses beyond the work done: the next start.
-const RESTART_MS: Millis = 300;
-/// Work since the last checkpoint that a stop of a checkpointing task loses at most, as it checkpoints when it is stopped.
-const CHECKPOINT_LOSS_MS: Millis = 200;
 
 /// Finds attempts of less urgent work whose room a waiting urgent task could have. Only what is asked of it is decided here;
 /// a stop is as every other stop, and the room is free once its end is proven.
@@ -15,103 +9,98 @@
     state: &'a ClusterState,
     now: Millis,
     /// Attempts chosen so far.
-    chosen: BTreeSet<TaskId>,
+    chosen: Vec<TaskId>,
     /// How many more may be chosen.
     left: usize,
     /// Room that attempts on their way out will leave, by worker.
     freeing: BTreeMap<WorkerIndex, Room>,
     /// Room that waiting tasks were promised in this round, by worker.
     promised: BTreeMap<WorkerIndex, Room>,
+    /// What could be stopped, worked out when something is to be.
+    lesser: Option<LesserWork>,
+}
+
+/// What has to go on one worker, and what that loses.
+struct PreemptionOffer {
+    loss: u64,
+    worker: WorkerIndex,
+    victims: usize,
 }
 
 impl<'a> Preemption<'a> {
     /// Over a state; what is being stopped for urgent work already counts.
-    pub fn new(state: &'a ClusterState, now: Millis) -> Self {
+    pub fn new(state: &'a ClusterState, now: Millis, book: &RoundBook<'_>) -> Self {
         let mut freeing: BTreeMap<WorkerIndex, Room> = BTreeMap::new();
         let mut out = 0;
-        for a in state.tables.attempts.values().filter(|a| a.stop == Some(StopReason::Preempted)) {
-            let room = freeing.entry(a.worker).or_default();
-            *room = room.add(a.room);
+        book.note(LookPurpose::Preemption, state.tables.attempts.len() as u64);
+        for attempt in state.tables.attempts.values().filter(|attempt| attempt.stop == Some(StopReason::Preempted)) {
+            let room = freeing.entry(attempt.worker).or_default();
+            *room = room.add(attempt.room);
             out += 1;
         }
         let left = MOST_OUT.saturating_sub(out);
-        Preemption { state, now, chosen: BTreeSet::new(), left, freeing, promised: BTreeMap::new() }
+        Preemption { state, now, chosen: Vec::new(), left, freeing, promised: BTreeMap::new(), lesser: None }
     }
 
     /// Makes room for one task of so much on one of these workers, at the least loss; false when there is none to be had. Room
     /// that is on its way already is promised first.
-    pub fn make_room(&mut self, need: Room, workers: &BTreeMap<WorkerIndex, &WorkerRecord>, book: &RoundBook<'_>) -> bool {
-        book.note(LookPurpose::Preemption, self.freeing.len() as u64);
-        if let Some(worker) = self.on_its_way(need, workers) {
+    pub fn make_room<'w>(
+        &mut self,
+        need: Room,
+        workers: impl Iterator<Item = (WorkerIndex, &'w WorkerRecord)>,
+        may_use: impl Fn(WorkerIndex) -> bool,
+        book: &RoundBook<'_>,
+    ) -> bool {
+        book.note(LookPurpose::Preemption, 1 + self.freeing.len() as u64);
+        if let Some(worker) = self.on_its_way(need, &may_use) {
             self.promise(worker, need);
             return true;
         }
-        let offers = workers.iter().filter_map(|(i, w)| self.offer(need, *i, w, book));
-        let Some((_, worker, victims)) = offers.min_by_key(|(loss, ..)| *loss) else { return false };
-        self.left -= victims.len();
-        for victim in &victims {
-            let room = self.freeing.entry(worker).or_default();
-            *room = room.add(self.state.tables.attempts[victim].room);
+        if self.left == 0 {
+            return false;
+        }
+        let lesser = self.lesser.get_or_insert_with(|| LesserWork::new(self.state, self.now, book));
+        if !lesser.could_leave(need) {
+            return false;
         }
-        self.chosen.extend(victims);
-        self.promise(worker, need);
+        let offers = workers.filter(|(worker, _)| may_use(*worker)).filter_map(|(worker, record)| {
+            let (loss, victims) = lesser.offer(need, worker, record, self.left, book)?;
+            Some(PreemptionOffer { loss, worker, victims })
+        });
+        let Some(best) = offers.min_by_key(|offer| offer.loss) else { return false };
+        self.accept(&best);
+        self.promise(best.worker, need);
         true
     }
 
+    fn accept(&mut self, offer: &PreemptionOffer) {
+        let Some(lesser) = &mut self.lesser else { return };
+        self.left -= offer.victims;
+        let freeing = self.freeing.entry(offer.worker).or_default();
+        for victim in lesser.take(offer.worker, offer.victims) {
+            *freeing = freeing.add(victim.room);
+            self.chosen.push(victim.task);
+        }
+    }
+
     fn promise(&mut self, worker: WorkerIndex, need: Room) {
         let promised = self.promised.entry(worker).or_default();
         *promised = promised.add(need);
     }
 
     /// A worker on which what is being stopped leaves enough.
-    fn on_its_way(&self, need: Room, workers: &BTreeMap<WorkerIndex, &WorkerRecord>) -> Option<WorkerIndex> {
-        let enough = |worker: &WorkerIndex, freeing: &Room| {
-            let Some(w) = workers.get(worker) else { return false };
-            let promised = self.promised.get(worker).copied().unwrap_or_default();
-            need.add(promised).fits(w.room().sub(w.used).add(*freeing))
+    fn on_its_way(&self, need: Room, may_use: impl Fn(WorkerIndex) -> bool) -> Option<WorkerIndex> {
+        let enough = |worker: WorkerIndex, freeing: Room| {
+            let Some(record) = self.state.tables.workers.get(&worker).filter(|_| may_use(worker)) else { return false };
+            let promised = self.promised.get(&worker).copied().unwrap_or_default();
+            need.add(promised).fits(record.room().sub(record.used).add(freeing))
         };
-        self.freeing.iter().find(|(worker, freeing)| enough(worker, freeing)).map(|(worker, _)| *worker)
+        self.freeing.iter().find(|(worker, freeing)| enough(**worker, **freeing)).map(|(worker, _)| *worker)
     }
 
     /// The attempts chosen.
-    pub fn into_victims(self) -> Vec<TaskId> {
-        self.chosen.into_iter().collect()
-    }
-
-    /// What has to go on one worker, and what that loses.
-    fn offer(&self, need: Room, worker: WorkerIndex, w: &WorkerRecord, book: &RoundBook<'_>) -> Option<(u64, WorkerIndex, Vec<TaskId>)> {
-        let on = self.state.on_worker.get(&worker)?;
-        book.note(LookPurpose::Preemption, 1 + on.len() as u64);
-        let mut lesser: Vec<(u64, TaskId, Room)> = on.iter().filter_map(|t| self.loss(*t).map(|(loss, room)| (loss, *t, room))).collect();
-        lesser.sort_unstable_by_key(|(loss, t, _)| (*loss, *t));
-        let mut free = w.room().sub(w.used);
-        let (mut sum, mut victims) = (0, Vec::new());
-        for (loss, task, room) in lesser {
-            if need.fits(free) {
-                break;
-            }
-            free = free.add(room);
-            sum += loss;
-            victims.push(task);
-        }
-        (need.fits(free) && !victims.is_empty() && victims.len() <= self.left).then_some((sum, worker, victims))
-    }
-
-    /// What a stop of an attempt loses, and the room it gives; `None` for what isn't to be stopped.
-    fn loss(&self, task: TaskId) -> Option<(u64, Room)> {
-        let t = &self.state.tables;
-        let a = t.attempts.get(&task).filter(|a| a.stop.is_none() && !self.chosen.contains(&task))?;
-        let j = t.jobs.get(&task.job).filter(|j| j.summary.urgency < t.rules.urgent_from)?;
-        let spec = j.spec.as_deref()?;
-        let step = spec.steps.get(task.step as usize).filter(|s| !s.gang)?;
-        let since = a.started.as_ref().map(|s| s.0)?;
-        let done = self.now.saturating_sub(since);
-        let lost = if step.checkpoints { done.min(CHECKPOINT_LOSS_MS) } else { done };
-        if lost > MOST_LOSS_MS {
-            return None;
-        }
-        // By the room as well, in the dimension that binds: what is lost is work, not time.
-        let part = a.room.dominant_ppm(t.workers.get(&a.worker)?.room());
-        Some(((lost + RESTART_MS) * part, a.room))
+    pub fn into_victims(mut self) -> Vec<TaskId> {
+        self.chosen.sort_unstable();
+        self.chosen
     }
 }
--- a/crates/scheduler-core/src/planning/rack_waits.rs
+++ b/crates/scheduler-core/src/planning/rack_waits.rs
@@ -21,7 +21,7 @@
     /// let step = StepId { job: 1, occurrence: 0, step: 0 };
     /// let mut waits = RackWaits::default();
     /// assert!(waits.may_wait(step, 1_000, 800, 500));
-    /// waits.settle(1_000, &[step].into());
+    /// waits.settle(1_000, &[step].into(), false);
     /// assert!(waits.may_wait(step, 1_250, 800, 500));
     /// assert!(!waits.may_wait(step, 1_300, 800, 500));
     /// ```
@@ -31,9 +31,9 @@
         waited < patience
     }
 
-    /// Takes over which steps wait after a round.
-    pub fn settle(&mut self, now: Millis, held: &BTreeSet<StepId>) {
-        self.since.retain(|id, _| held.contains(id));
+    /// Takes over which steps wait after a round; after one that was cut short, those whose turn didn't come wait on.
+    pub fn settle(&mut self, now: Millis, held: &BTreeSet<StepId>, cut: bool) {
+        self.since.retain(|id, _| cut || held.contains(id));
         for id in held {
             self.since.entry(*id).or_insert(now);
         }
--- a/crates/scheduler-core/src/planning/reserved_workers.rs
+++ b/crates/scheduler-core/src/planning/reserved_workers.rs
@@ -22,6 +22,8 @@
     /// Worked out when a gang claims workers.
     emptying: Option<Vec<EmptyingWorker>>,
     made: BTreeMap<StepId, GangReservation>,
+    /// Steps whose turn came in this round.
+    decided: BTreeSet<StepId>,
 }
 
 /// Whom one worker is set aside for.
@@ -49,7 +51,15 @@
 impl<'a> ReservedWorkers<'a> {
     /// The workers that the last round set aside for one gang alone, as far as that gang still waits.
     pub fn new(state: &'a ClusterState, now: Millis, before: &'a GangReservations) -> Self {
-        let mut reserved = ReservedWorkers { state, now, before, by_worker: BTreeMap::new(), emptying: None, made: BTreeMap::new() };
+        let mut reserved = ReservedWorkers {
+            state,
+            now,
+            before,
+            by_worker: BTreeMap::new(),
+            emptying: None,
+            made: BTreeMap::new(),
+            decided: BTreeSet::new(),
+        };
         for (step, reservation) in before.iter().filter(|(_, reservation)| reservation.exclusive) {
             if let Some(urgency) = Self::waiting_urgency(state, step) {
                 reserved.enter(step, urgency, reservation);
@@ -76,8 +86,14 @@
         self.by_worker.is_empty()
     }
 
+    /// Whether workers are set aside for a step.
+    pub fn is_set_aside(&self, step: StepId) -> bool {
+        self.by_worker.values().any(|reserved| reserved.step == step)
+    }
+
     /// Gives a step's workers back.
     pub fn release(&mut self, step: StepId) {
+        self.decided.insert(step);
         self.by_worker.retain(|_, reserved| reserved.step != step);
         self.made.remove(&step);
     }
@@ -102,6 +118,9 @@
     /// Has lesser work leave workers alone on which a gang could run, those first that are expected to be empty first. Others of
     /// its urgency may use them meanwhile.
     pub fn claim(&mut self, placement: &StepPlacement<'_>, book: &RoundBook<'_>) {
+        if self.by_worker.len() >= placement.eligible.all().len() {
+            return;
+        }
         book.note(LookPurpose::Reservation, placement.eligible.all().len() as u64);
         let member = placement.group.room;
         let mut left = u64::from(placement.group.gang);
@@ -142,8 +161,11 @@
         workers
     }
 
-    /// The reservations made in this round.
-    pub fn into_made(self) -> BTreeMap<StepId, GangReservation> {
+    /// The reservations made in this round; of one that was cut short also those of gangs that still wait for their turn.
+    pub fn into_made(mut self, cut: bool) -> BTreeMap<StepId, GangReservation> {
+        let kept = self.before.iter().filter(|(step, _)| cut && !self.decided.contains(step));
+        let waiting = kept.filter(|(step, _)| Self::waiting_urgency(self.state, *step).is_some());
+        self.made.extend(waiting.map(|(step, reservation)| (step, reservation.clone())));
         self.made
     }
 
--- a/crates/scheduler-core/src/planning/start_planner.rs
+++ b/crates/scheduler-core/src/planning/start_planner.rs
@@ -2,8 +2,10 @@
 
 /// A job that has nothing running presses after this many hold intervals: its next task may use workers that are set aside.
 const PRESSING_HOLDS: u64 = 3;
-/// Use of a service's workers, in millionths of the dimension that is used most, from which workers are set aside for gangs.
-const SCARCE_PPM: u64 = 550_000;
+/// Looks of one round at most, but for those of the last step of each urgency: a leader that plans for longer is taken for lost.
+const ROUND_LOOKS: u64 = 1 << 16;
+/// What each step costs before any worker is looked at, in looks.
+const STEP_LOOKS: u64 = 8;
 
 /// One planned group of starts: (task, worker), and whether all or none.
 pub type PlannedStarts = (Vec<(TaskId, WorkerIndex)>, bool);
@@ -21,51 +23,64 @@
     pub reservations: BTreeMap<StepId, GangReservation>,
     /// What the round cost.
     pub looks: RoundLooks,
+    /// Whether it cost so much that it was cut short.
+    pub cut: bool,
+    /// Where rounds that were cut short go on.
+    pub turns: RoundTurns,
 }
 
-/// A group of alike tasks with its steps still to do, the next one last.
-struct PendingGroup<'a> {
-    group: &'a ReadyGroup,
-    steps: Vec<ReadyStep>,
+/// A queue among those of its urgency.
+struct QueueTurn<'a> {
+    /// Its place behind those whose turn is still to come.
+    place: usize,
+    /// The last of its steps that this round got to.
+    reached: Option<ReadyStep>,
+    /// How much it uses for its share, as far as that is known.
+    weight: Option<f64>,
+    /// What waits in it.
+    steps: WaitingSteps<'a>,
 }
 
 /// What decides which workers a task may use, room and trust aside: queue, service, kinds, labels.
 type Eligibility<'a> = (&'a Name, &'a Name, &'a [Name], &'a [Name]);
 
 /// Candidates for the tasks of one step, ranked when they are first asked for.
-struct StepCandidates {
+pub(crate) struct StepCandidates {
     /// Tasks that each zone may take.
-    zones: BTreeMap<Name, u64>,
+    pub(crate) zones: BTreeMap<Name, u64>,
     /// In the rack of the step's data.
-    near: Option<CandidateQueue>,
+    pub(crate) near: Option<CandidateQueue>,
     /// Anywhere, and whether reserved workers are among them.
-    anywhere: Option<(bool, CandidateQueue)>,
+    pub(crate) anywhere: Option<(bool, CandidateQueue)>,
 }
 
 /// Works out which waiting tasks start where, from the committed state as it is: nothing is changed here.
 ///
 /// Order: urgency, then the queue that uses least for its share, then the time a job was due. A task that fits nowhere
-/// speaks for its whole group, so a mass of impossible jobs costs one look a round.
+/// speaks for its whole group and for all that ask for as much. A round costs a bounded number of looks, whatever waits: one that
+/// is cut short goes on in the next one, after a step of each lesser urgency.
 pub struct StartPlanner<'a> {
-    state: &'a ClusterState,
-    now: Millis,
+    pub(crate) state: &'a ClusterState,
+    pub(crate) now: Millis,
     most: usize,
-    policies: PlacementPolicies,
-    memory: &'a PlannerMemory,
-    book: RoundBook<'a>,
-    eligible: BTreeMap<Eligibility<'a>, Rc<EligibleWorkers<'a>>>,
+    pub(crate) policies: PlacementPolicies,
+    pub(crate) memory: &'a PlannerMemory,
+    pub(crate) book: RoundBook<'a>,
+    pub(crate) eligible: BTreeMap<Eligibility<'a>, Rc<EligibleWorkers<'a>>>,
     /// Workers to which anything may be sent now, worked out when the first step is planned.
     open_workers: OnceCell<Rc<RackWorkers<'a>>>,
     wide_shapes: WideShapes,
-    reserved: ReservedWorkers<'a>,
-    preemption: Preemption<'a>,
-    /// Use of each queue over all zones, as a ratio to the fleet and its share.
-    weights: BTreeMap<Name, f64>,
+    pub(crate) reserved: ReservedWorkers<'a>,
+    /// Worked out when the first urgent task fits nowhere.
+    preemption: Option<Preemption<'a>>,
+    pub(crate) refusals: Refusals,
+    turns: RoundTurns,
+    cut: bool,
     fleet: Room,
     /// Use of each service's workers, worked out when a gang waits.
-    service_use: BTreeMap<Name, u64>,
-    plans: Vec<PlannedStarts>,
-    count: usize,
+    pub(crate) service_use: BTreeMap<Name, u64>,
+    pub(crate) plans: Vec<PlannedStarts>,
+    pub(crate) count: usize,
     held: BTreeSet<StepId>,
     /// Racks that urgent tasks wait for: lesser work leaves them alone.
     awaited_racks: BTreeSet<&'a Name>,
@@ -86,8 +101,10 @@
             open_workers: OnceCell::new(),
             wide_shapes: WideShapes::new(state),
             reserved: ReservedWorkers::new(state, now, &memory.reservations),
-            preemption: Preemption::new(state, now),
-            weights: BTreeMap::new(),
+            preemption: None,
+            refusals: Refusals::new(),
+            turns: memory.turns.clone(),
+            cut: false,
             fleet,
             service_use: BTreeMap::new(),
             plans: Vec::new(),
@@ -99,57 +116,87 @@
 
     /// Plans one round.
     pub fn plan(mut self) -> PlannedRound {
-        let mut levels: BTreeMap<Reverse<u8>, Vec<PendingGroup<'a>>> = BTreeMap::new();
-        for (group, steps) in self.state.ready.groups() {
-            let urgency = self.state.urgency(&group.queue, group.asked);
-            let mut steps: Vec<ReadyStep> = steps.iter().take(self.most).copied().collect();
-            steps.reverse();
-            levels.entry(Reverse(urgency)).or_default().push(PendingGroup { group, steps });
+        let ready = &self.state.ready;
+        let mut levels: BTreeMap<Reverse<u8>, Vec<QueueTurn<'a>>> = BTreeMap::new();
+        for (queue, groups) in ready.queues() {
+            let urgency = self.state.urgency(&queue.queue, queue.asked);
+            let steps = WaitingSteps::new(ready, queue, groups, self.turns.reached(queue));
+            let turn = QueueTurn { place: self.turns.place(queue), reached: None, weight: None, steps };
+            levels.entry(Reverse(urgency)).or_default().push(turn);
         }
-        for (Reverse(urgency), groups) in levels {
-            self.plan_level(urgency, groups);
+        let mut lesser_levels = levels.len();
+        for (Reverse(urgency), queues) in levels {
+            lesser_levels -= 1;
+            let left = ROUND_LOOKS.saturating_sub(self.book.looks().total());
+            let most = if lesser_levels == 0 { left } else { left / 2 };
+            self.plan_level(urgency, queues, self.book.looks().total() + most);
             if self.count >= self.most {
                 break;
             }
         }
+        self.turns.keep(|queue| ready.has_queue(queue));
         PlannedRound {
             starts: self.plans,
-            victims: self.preemption.into_victims(),
+            victims: self.preemption.map(Preemption::into_victims).unwrap_or_default(),
             held: self.held,
-            reservations: self.reserved.into_made(),
+            reservations: self.reserved.into_made(self.cut),
             looks: self.book.looks(),
+            cut: self.cut,
+            turns: self.turns,
         }
     }
 
-    /// Plans all groups of one urgency, the queue that lags most behind its share first.
-    fn plan_level(&mut self, urgency: u8, mut left: Vec<PendingGroup<'a>>) {
+    /// Plans the steps of one urgency, the queue that lags most behind its share first, until the round has cost so many looks.
+    fn plan_level(&mut self, urgency: u8, mut queues: Vec<QueueTurn<'a>>, until_looks: u64) {
+        self.refusals.clear();
         while self.count < self.most {
-            let Some(next) = self.next_group(&left) else { return };
-            let Some(step) = left[next].steps.pop() else {
-                left.swap_remove(next);
-                continue;
+            let Some(next) = self.next_queue(&mut queues) else {
+                queues.iter().for_each(|turn| self.turns.forget(turn.steps.queue()));
+                return;
             };
-            if !self.plan_step(urgency, &left[next], step) {
-                left.swap_remove(next);
-                continue;
+            let Some(step) = queues[next].steps.take() else { return };
+            let queue = queues[next].steps.queue();
+            queues[next].reached = Some(step.at);
+            self.book.note(LookPurpose::Ordering, STEP_LOOKS);
+            if self.plan_step(urgency, step) {
+                queues[next].steps.planned(step);
+                let same_queue = queues.iter_mut().filter(|turn| turn.steps.queue().queue == queue.queue);
+                same_queue.for_each(|turn| turn.weight = None);
+            }
+            if self.book.looks().total() >= until_looks {
+                self.cut_short(queues);
+                return;
             }
-            self.weights.remove(&left[next].group.queue);
         }
     }
 
-    /// The group whose turn it is.
-    fn next_group(&mut self, left: &[PendingGroup<'a>]) -> Option<usize> {
-        self.book.note(LookPurpose::Ordering, left.len() as u64);
-        for pending in left.iter().filter(|_| self.policies.fair_shares) {
-            let queue = &pending.group.queue;
-            if !self.weights.contains_key(queue) {
-                let weight = self.weight(queue);
-                self.weights.insert(queue.clone(), weight);
+    /// Leaves the steps of an urgency for the next round, which begins with the queues that had no turn in this one.
+    fn cut_short(&mut self, queues: Vec<QueueTurn<'a>>) {
+        self.cut = true;
+        let mut had_turn: Vec<QueueTurn<'a>> = queues.into_iter().filter(|turn| turn.reached.is_some()).collect();
+        had_turn.sort_by_key(|turn| turn.place);
+        for mut turn in had_turn {
+            let reached = turn.reached.filter(|_| turn.steps.peek().is_some());
+            self.turns.had_turn(turn.steps.queue(), reached);
+        }
+    }
+
+    /// The queue whose turn it is.
+    fn next_queue(&mut self, queues: &mut [QueueTurn<'a>]) -> Option<usize> {
+        let mut next: Option<(usize, f64, Millis, usize)> = None;
+        for (index, turn) in queues.iter_mut().enumerate() {
+            let Some((due_at, _)) = turn.steps.peek() else { continue };
+            let weight = match self.policies.fair_shares {
+                true => *turn.weight.get_or_insert_with(|| self.weight(&turn.steps.queue().queue)),
+                false => 0.0,
+            };
+            let goes_first = next
+                .is_none_or(|(place, least, due, _)| turn.place.cmp(&place).then(weight.total_cmp(&least)).then(due_at.cmp(&due)).is_lt());
+            if goes_first {
+                next = Some((turn.place, weight, due_at, index));
             }
         }
-        let weight = |index: usize| self.weights.get(&left[index].group.queue).copied().unwrap_or(0.0);
-        let due = |index: usize| left[index].steps.last().map(|step| step.0);
-        (0..left.len()).min_by(|&a, &b| weight(a).total_cmp(&weight(b)).then(due(a).cmp(&due(b))))
+        next.map(|(.., index)| index)
     }
 
     /// How much a queue uses for its share: the dimension of which it takes most, as a ratio to the fleet.
@@ -166,60 +213,22 @@
     }
 
     /// Plans the waiting tasks of one step; false when its group fits nowhere now.
-    fn plan_step(&mut self, urgency: u8, pending: &PendingGroup<'a>, (due_at, id): ReadyStep) -> bool {
+    fn plan_step(&mut self, urgency: u8, WaitingStep { group, at: (due_at, id) }: WaitingStep<'a>) -> bool {
         let Some(job) = self.state.tables.jobs.get(&id.job) else { return true };
         let (Some(spec), Some(step)) = (job.spec.as_deref(), job.step(id)) else { return true };
         let rules = &self.state.tables.rules;
         let urgent = urgency >= rules.urgent_from;
         let waits_long = self.now >= due_at + PRESSING_HOLDS * rules.hold_interval_ms;
-        let pressing = waits_long && pending.group.gang == 0 && (job.live() == 0 || spec.run_until_cancelled);
-        let eligible = self.eligible(pending.group);
+        let pressing = waits_long && group.gang == 0 && (job.live() == 0 || spec.run_until_cancelled);
+        let eligible = self.eligible(group);
         let ranked = self.state.bands.ranked(self.now, &self.state.task_to_place(spec, id.step, 0));
-        let placement = StepPlacement { urgency, urgent, pressing, group: pending.group, id, spec, step, eligible: &eligible, ranked };
-        match pending.group.gang {
-            0 => self.plan_tasks(&placement, pending.group),
+        let placement = StepPlacement { urgency, urgent, pressing, group, id, spec, step, eligible: &eligible, ranked };
+        match group.gang {
+            0 => self.plan_tasks(&placement, group),
             _ => self.plan_gang(&placement),
         }
     }
 
-    /// Plans all members of a gang, or sets room aside for them.
-    fn plan_gang(&mut self, placement: &StepPlacement<'_>) -> bool {
-        let members: Vec<u32> = placement.step.waiting().collect();
-        let Some(places) = self.gang_places(placement, &members) else {
-            if self.policies.gang_reservation {
-                self.reserve(placement);
-            }
-            return false;
-        };
-        self.reserved.release(placement.id);
-        self.count += members.len();
-        self.plans.push((members.iter().map(|member| placement.id.task(*member)).zip(places).collect(), true));
-        true
-    }
-
-    /// Sets workers aside for a gang that fits nowhere.
-    fn reserve(&mut self, placement: &StepPlacement<'_>) {
-        if self.service_use_ppm(&placement.group.service) < SCARCE_PPM {
-            return;
-        }
-        let expected_ms = placement.ranked.exit.saturating_sub(self.now);
-        if !self.reserved.reserve(placement, &self.book, expected_ms) && self.policies.gang_claims {
-            self.reserved.claim(placement, &self.book);
-        }
-    }
-
-    /// Use of a service's workers in the dimension that is used most, in millionths.
-    fn service_use_ppm(&mut self, service: &Name) -> u64 {
-        let workers = &self.state.tables.workers;
-        *self.service_use.entry(service.clone()).or_insert_with(|| {
-            self.book.note(LookPurpose::Reservation, workers.len() as u64);
-            let of_service = workers.values().filter(|worker| worker.told.service == *service);
-            let (room, used) = of_service
-                .fold((Room::default(), Room::default()), |(room, used), worker| (room.add(worker.room()), used.add(worker.used)));
-            used.dominant_ppm(room)
-        })
-    }
-
     /// Plans the waiting tasks of a step one by one.
     fn plan_tasks(&mut self, placement: &StepPlacement<'_>, group: &'a ReadyGroup) -> bool {
         let (id, step) = (placement.id, placement.step);
@@ -239,7 +248,7 @@
             }
             // One task is enough for a job that presses, unless it lasts.
             let pressing = placement.pressing && (starts.is_empty() || placement.spec.run_until_cancelled);
-            match self.take_anywhere(&StepPlacement { pressing, ..*placement }, avoid, &mut candidates) {
+            match self.take_if_any(&StepPlacement { pressing, ..*placement }, avoid, &mut candidates) {
                 Some(worker) => starts.push((id.task(index), worker)),
                 None => {
                     self.preempt(placement, step.waiting().skip_while(|i| *i != index).count());
@@ -256,7 +265,37 @@
         fits
     }
 
-    fn candidates(&self, placement: &StepPlacement<'_>) -> StepCandidates {
+    /// Any worker for one more task, unless as much room was refused already.
+    fn take_if_any(
+        &mut self,
+        placement: &StepPlacement<'_>,
+        avoid: Option<WorkerIndex>,
+        candidates: &mut StepCandidates,
+    ) -> Option<WorkerIndex> {
+        let kind = if placement.pressing { RefusalKind::PressingTask } else { RefusalKind::Task };
+        if self.is_refused(placement, kind, 1) {
+            return None;
+        }
+        let found = self.take_anywhere(placement, avoid, candidates);
+        if found.is_none() && placement.group.spread.is_none() {
+            self.refusals_of(placement, kind).refuse(placement.group.room, 1);
+        }
+        found
+    }
+
+    /// Whether so many places for tasks of a step can't be had, as far as one comparison tells.
+    pub(crate) fn is_refused(&self, placement: &StepPlacement<'_>, kind: RefusalKind, places: u32) -> bool {
+        let (room, eligible) = (placement.group.room, placement.eligible);
+        let refused = self.refusals.get(&(eligible.number(), kind));
+        !room.fits(eligible.widest()) || refused.is_some_and(|refused| refused.refuses(room, places))
+    }
+
+    /// What was refused of the workers that a step may use.
+    pub(crate) fn refusals_of(&mut self, placement: &StepPlacement<'_>, kind: RefusalKind) -> &mut RefusedRooms {
+        self.refusals.entry((placement.eligible.number(), kind)).or_default()
+    }
+
+    pub(crate) fn candidates(&self, placement: &StepPlacement<'_>) -> StepCandidates {
         let zones = zone_allowance(self.state, &self.book, self.policies, placement.urgent, placement.group);
         StepCandidates { zones, near: None, anywhere: None }
     }
@@ -273,7 +312,7 @@
     }
 
     /// Any worker for one more task, whose room is charged.
-    fn take_anywhere(
+    pub(crate) fn take_anywhere(
         &mut self,
         placement: &StepPlacement<'_>,
         avoid: Option<WorkerIndex>,
@@ -297,7 +336,7 @@
     }
 
     /// Gives a worker's room to one task of a step.
-    fn charge(&mut self, placement: &StepPlacement<'_>, worker: WorkerIndex, candidates: &mut StepCandidates) {
+    pub(crate) fn charge(&mut self, placement: &StepPlacement<'_>, worker: WorkerIndex, candidates: &mut StepCandidates) {
         let record = &self.state.tables.workers[&worker];
         if let Some(left) = candidates.zones.get_mut(&record.told.zone) {
             *left -= 1;
@@ -329,8 +368,8 @@
         self.held.insert(placement.id);
         self.awaited_racks.insert(rack);
         if self.policies.preemption {
-            let workers = self.trusted(placement, |w| w.told.rack == *rack && is_sound(w));
-            self.preemption.make_room(placement.group.room, &workers, &self.book);
+            let workers = placement.eligible.in_rack(rack).iter().copied();
+            self.make_room(placement, workers, |worker| worker.told.rack == *rack && is_sound(worker));
         }
     }
 
@@ -339,23 +378,33 @@
         if !placement.urgent || !self.policies.preemption {
             return;
         }
-        let workers = self.trusted(placement, |w| w.pace.ratio <= SLOW_RATIO);
+        let room = placement.group.room;
+        if self.refusals_of(placement, RefusalKind::Preemption).refuses(room, 1) {
+            return;
+        }
         for _ in 0..waiting {
-            if !self.preemption.make_room(placement.group.room, &workers, &self.book) {
+            let workers = placement.eligible.all().iter().map(|(index, worker)| (*index, *worker));
+            if !self.make_room(placement, workers, |worker| worker.pace.ratio <= SLOW_RATIO) {
+                self.refusals_of(placement, RefusalKind::Preemption).refuse(room, 1);
                 return;
             }
         }
     }
 
-    /// Workers of a step on which a task may be tried, room aside.
-    fn trusted<'p>(
-        &self,
-        placement: &StepPlacement<'p>,
+    /// Makes room for one task of a step on one of some workers that can be trusted; false when there is none to be had.
+    fn make_room<'w>(
+        &mut self,
+        placement: &StepPlacement<'_>,
+        workers: impl Iterator<Item = (WorkerIndex, &'w WorkerRecord)>,
         within: impl Fn(&WorkerRecord) -> bool,
-    ) -> BTreeMap<WorkerIndex, &'p WorkerRecord> {
-        self.book.note(LookPurpose::Preemption, placement.eligible.all().len() as u64);
-        let trusted = placement.eligible.all().iter().filter(|(_, w)| w.health.may_try(self.now, 0) && within(w));
-        trusted.map(|(index, w)| (*index, *w)).collect()
+    ) -> bool {
+        let (state, now, book) = (self.state, self.now, &self.book);
+        let may_use = |worker: WorkerIndex| {
+            let record = placement.eligible.all().get(&worker);
+            record.is_some_and(|record| record.health.may_try(now, 0) && within(record))
+        };
+        let preemption = self.preemption.get_or_insert_with(|| Preemption::new(state, now, book));
+        preemption.make_room(placement.group.room, workers, may_use, book)
     }
 
     /// Workers to which anything may be sent now, whatever it asks for.
@@ -386,74 +435,13 @@
             queue.is_some_and(|queue| worker.takes(queue, &group.service, &group.kinds, &group.labels))
         };
         let open = self.open_workers();
-        let workers = open.iter().filter(|(_, worker)| may(worker)).copied();
-        let found = Rc::new(EligibleWorkers::new(workers));
+        let workers = open.iter().filter(|(_, worker)| may(worker)).map(|(index, worker)| (*index, *worker, book.free(*index, worker)));
+        let found = Rc::new(EligibleWorkers::new(self.eligible.len(), workers));
         self.eligible.insert(key, found.clone());
         found
     }
 
-    /// Workers for a whole gang: within one rack where that is faster and possible.
-    fn gang_places(&mut self, placement: &StepPlacement<'_>, members: &[u32]) -> Option<Vec<WorkerIndex>> {
-        let wanted = members.len() as u64;
-        let most: Vec<u64> = placement.eligible.racks().map(|rack| self.most_members(placement, rack)).collect();
-        if most.iter().copied().fold(0, u64::saturating_add) < wanted {
-            return None;
-        }
-        if placement.group.same_rack {
-            for (rack, _) in placement.eligible.racks().zip(most).filter(|(_, most)| *most >= wanted) {
-                let found = self.places(placement, members, rack);
-                if found.is_some() {
-                    return found;
-                }
-            }
-        }
-        let anywhere: RackWorkers<'_> = placement.eligible.all().iter().map(|(index, worker)| (*index, *worker)).collect();
-        self.places(placement, members, &anywhere)
-    }
-
-    /// How many members of a gang some workers have room for at most.
-    fn most_members(&self, placement: &StepPlacement<'_>, workers: &[(WorkerIndex, &WorkerRecord)]) -> u64 {
-        let group = placement.group;
-        let spread = group.spread.map_or(u64::MAX, |(most, _)| u64::from(most));
-        let places = workers.iter().map(|(index, worker)| {
-            self.book.note(LookPurpose::Placement, 1);
-            self.book.free(*index, worker).count_of(group.room).min(spread)
-        });
-        places.fold(0, u64::saturating_add)
-    }
-
-    /// Workers among some for all members of a gang, or none; what they take is charged.
-    fn places(
-        &mut self,
-        placement: &StepPlacement<'_>,
-        members: &[u32],
-        workers: &[(WorkerIndex, &WorkerRecord)],
-    ) -> Option<Vec<WorkerIndex>> {
-        let mut candidates = self.candidates(placement);
-        let queue = CandidateQueue::new(&self.choice(), placement, &candidates.zones, workers.iter().copied());
-        candidates.anywhere = Some((placement.pressing, queue));
-        let mut found: Vec<WorkerIndex> = Vec::with_capacity(members.len());
-        for &member in members {
-            let avoid = placement.step.tasks[member as usize].avoid;
-            let place = match avoid {
-                Some(_) => {
-                    let best = self.choice().best(placement, avoid, &candidates.zones, workers.iter().copied());
-                    best.inspect(|worker| self.charge(placement, *worker, &mut candidates))
-                }
-                None => self.take_anywhere(placement, None, &mut candidates),
-            };
-            let Some(worker) = place else {
-                for worker in found {
-                    self.book.refund(worker, placement.group, placement.id);
-                }
-                return None;
-            };
-            found.push(worker);
-        }
-        Some(found)
-    }
-
-    fn choice(&self) -> WorkerChoice<'_, 'a> {
+    pub(crate) fn choice(&self) -> WorkerChoice<'_, 'a> {
         WorkerChoice {
             state: self.state,
             now: self.now,
--- a/crates/scheduler-core/src/planning/worker_choice.rs
+++ b/crates/scheduler-core/src/planning/worker_choice.rs
@@ -81,9 +81,9 @@
         if !self.fits(placement, worker, record, zones) {
             return None;
         }
+        let preference = self.preference(placement, worker, record, avoid)?;
         let strategy = if self.policies.lifetime_bands { PlacementStrategy::Lava } else { PlacementStrategy::BestFit };
         let score = self.state.bands.score(self.now, placement.ranked, &strategy, worker)?;
-        let preference = self.preference(placement, worker, record, avoid)?;
         Some(Candidate { preference, score, worker })
     }
 
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -3,9 +3,11 @@
 pub use std::borrow::Borrow;
 pub use std::cell::{Cell, OnceCell};
 pub use std::cmp::{Ordering, Reverse};
+pub use std::collections::btree_map;
 pub use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashSet, VecDeque};
 pub use std::fmt;
-pub use std::ops::{AddAssign, RangeInclusive, Sub};
+pub use std::iter::Peekable;
+pub use std::ops::{AddAssign, Bound, RangeInclusive, Sub};
 pub use std::rc::Rc;
 pub use std::sync::{Arc, LazyLock};
 
@@ -54,15 +56,16 @@
 pub use crate::ledger::{Answer, Ledger};
 pub use crate::peer_frame::PeerFrame;
 pub use crate::planning::{
-    Candidate, CandidateQueue, EligibleWorkers, GangReservation, GangReservations, LookPurpose, PlacementPolicies, PlannedRound,
-    PlannedStarts, PlannerMemory, Preemption, Preference, RackWaits, RackWorkers, ReservedWorkers, RoundBook, RoundLooks, StartPlanner,
-    StepPlacement, UnknownPolicy, WideShapes, WorkerChoice, zone_allowance,
+    Candidate, CandidateQueue, EligibleWorkers, GangReservation, GangReservations, LesserAttempt, LesserWork, LookPurpose,
+    PlacementPolicies, PlannedRound, PlannedStarts, PlannerMemory, Preemption, Preference, RackWaits, RackWorkers, RefusalKind, Refusals,
+    RefusedRooms, ReservedWorkers, RoundBook, RoundLooks, RoundTurns, StartPlanner, StepPlacement, UnknownPolicy, WaitingStep,
+    WaitingSteps, WideShapes, WorkerChoice, zone_allowance,
 };
 pub(crate) use crate::planning::{SLOW_RATIO, is_sound};
 pub(crate) use crate::queries::patch_of;
 pub use crate::queue_gauges::QueueGauges;
 pub use crate::queued_command::QueuedCommand;
-pub use crate::ready_index::{ReadyGroup, ReadyIndex, ReadyStep};
+pub use crate::ready_index::{QueuedGroups, ReadyGroup, ReadyIndex, ReadyQueue, ReadyStep};
 pub use crate::scheduler::{Scheduler, SchedulerCounters, Waiter};
 pub use crate::scheduler_input::{ChannelId, OWN_PROCESS, SchedulerEffect, SchedulerInput};
 pub use crate::scheduler_members::PeerMember;
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -28,6 +28,8 @@
     /// How far gateways have been told the news.
     pub(crate) flushed: FlushProgress,
     pub(crate) planned_at: Millis,
+    /// How long placement pauses after its last round: the longer, the more that cost.
+    pub(crate) planning_pause_ms: Millis,
     pub(crate) planner_memory: PlannerMemory,
     pub(crate) peers: BTreeMap<u64, PeerMember>,
     pub(crate) greeted_at: Option<Millis>,
@@ -57,6 +59,8 @@
     pub shed: u64,
     /// Rounds of placement.
     pub rounds: u64,
+    /// Rounds that were cut short because they had cost enough.
+    pub rounds_cut: u64,
     /// Starts planned.
     pub planned: u64,
     /// What the rounds cost.
@@ -110,6 +114,7 @@
             dirty: true,
             flushed: FlushProgress::default(),
             planned_at: 0,
+            planning_pause_ms: 0,
             planner_memory: PlannerMemory::default(),
             peers: BTreeMap::new(),
             greeted_at: None,
--- a/crates/scheduler-core/src/scheduler_rounds.rs
+++ b/crates/scheduler-core/src/scheduler_rounds.rs
@@ -12,6 +12,8 @@
 pub(crate) const BATCH_COMMANDS: usize = 256;
 /// Starts planned in one round at most.
 const ROUND_STARTS: usize = 256;
+/// Looks of all rounds of placement in one hold interval at most: the leader has other things to do.
+const LOOKS_A_HOLD: u64 = 1 << 20;
 /// Rounds of placement in one hold interval when nothing changed.
 const IDLE_ROUNDS_A_HOLD: u64 = 4;
 
@@ -72,12 +74,11 @@
     /// Placement: one round at a time, each over what the last one brought about.
     pub(crate) fn plan(&mut self, now: Millis) {
         let idle = self.settings.hold_interval_ms / IDLE_ROUNDS_A_HOLD;
-        let due = self.dirty || now >= self.planned_at + idle;
+        let due = now >= self.planned_at + self.planning_pause_ms && (self.dirty || now >= self.planned_at + idle);
         let busy = self.flights.values().any(|f| f.starts) || self.inbox.iter().any(|c| matches!(c.command, Command::Start { .. }));
         if !due || busy || self.ledger.state.ready.is_empty() {
             return;
         }
-        self.dirty = false;
         self.planned_at = now;
         self.counters.rounds += 1;
         let log_time = self.replica.log_time(now);
@@ -85,8 +86,12 @@
         let planner = StartPlanner::new(state, log_time, ROUND_STARTS, self.settings.policies, &self.planner_memory);
         let round = planner.plan();
         self.planner_memory.settle(log_time, &round, state.tables.rules.gang_time_budget_ms);
-        let PlannedRound { starts, victims, looks, .. } = round;
+        let PlannedRound { starts, victims, looks, cut, .. } = round;
         self.counters.looks += looks;
+        self.counters.rounds_cut += u64::from(cut);
+        self.planning_pause_ms = self.settings.hold_interval_ms * looks.total() / LOOKS_A_HOLD;
+        // What waits goes on where this round was cut short, also when nothing changes.
+        self.dirty = cut;
         if !victims.is_empty() {
             self.counters.preempted += victims.len() as u64;
             self.inbox.push_back(QueuedCommand::own(Command::Preempt(victims), now));
--- a/crates/scheduler-core/tests/candidate_queue_test.rs
+++ b/crates/scheduler-core/tests/candidate_queue_test.rs
@@ -52,7 +52,7 @@
     let wide_shapes = WideShapes::new(state);
     let reserved = ReservedWorkers::new(state, bench.now, &memory);
     let awaited_racks = BTreeSet::new();
-    let eligible = EligibleWorkers::new(state.tables.workers.iter().map(|(index, worker)| (*index, worker)));
+    let eligible = EligibleWorkers::new(0, state.tables.workers.iter().map(|(index, worker)| (*index, worker, worker.room())));
     let ranked = state.bands.ranked(bench.now, &state.task_to_place(spec, id.step, 0));
     let urgency = job.summary.urgency;
     let placement = StepPlacement { urgency, urgent, pressing: false, group, id, spec, step, eligible: &eligible, ranked };
--- a/crates/scheduler-core/tests/planner_cost_test.rs
+++ b/crates/scheduler-core/tests/planner_cost_test.rs
@@ -131,3 +131,75 @@
     });
     assert_bounded(&bench.round());
 }
+
+/// Rounds after which a step that fits has started, whatever waits before it: 1.9 s for an urgent start, at 32 ms a round.
+const MOST_ROUNDS: usize = 59;
+/// Urgency of the backlog that costs all looks of a round.
+const BACKLOG_URGENCY: u8 = 2;
+
+/// Steps that wait in a queue for workers with room that nobody trusts. Each is limited a worker by itself, so that no refusal
+/// speaks for another one.
+fn wait_for_untrusted_workers(bench: &mut Bench, queue: &str) {
+    for n in 0..BACKLOG {
+        let mut spec = JobSpec::single(&format!("waiting-{n}"), queue, "s", 1, 3_900, 7_900);
+        spec.urgency = Some(BACKLOG_URGENCY);
+        spec.steps[0].most_per_worker = 1;
+        bench.submit(spec);
+    }
+}
+
+/// A fleet of workers with room that nobody trusts, and one that is sound but nearly full.
+fn untrusted_fleet() -> Bench {
+    let mut bench = Bench::new(WORKERS);
+    bench.command_ms = 0;
+    for worker in bench.ledger.state.tables.workers.values_mut() {
+        (worker.health.level, worker.health.until) = (1, Millis::MAX);
+    }
+    bench.one(Command::Register(bench.told("sound", "b1")));
+    let (sound, _) = bench.ledger.state.worker("sound").unwrap();
+    bench.ledger.state.tables.workers.get_mut(&sound).unwrap().used = Room::new(7_000, 15_000);
+    bench
+}
+
+/// Rounds until something of a job starts.
+fn rounds_until_start(bench: &mut Bench, job: JobNumber) -> usize {
+    let mut starts_in_round = || {
+        let round = bench.round();
+        assert_bounded(&round);
+        round.starts.into_iter().flat_map(|(starts, _)| starts).any(|(task, _)| task.job == job)
+    };
+    (1..=MOST_ROUNDS).find(|_| starts_in_round()).unwrap_or_else(|| panic!("no start in {MOST_ROUNDS} rounds"))
+}
+
+#[test]
+fn a_step_that_fits_starts_behind_a_backlog_that_costs_all_looks_of_a_round() {
+    for queue in ["q", "other"] {
+        for urgency in [BACKLOG_URGENCY, BACKLOG_URGENCY - 1] {
+            let mut bench = untrusted_fleet();
+            wait_for_untrusted_workers(&mut bench, "q");
+            let round = bench.round();
+            assert!(round.cut, "{:?}", round.looks);
+            let mut spec = JobSpec::single("fits", queue, "s", 1, 500, 500);
+            spec.urgency = Some(urgency);
+            let job = bench.submit(spec);
+            rounds_until_start(&mut bench, job);
+        }
+    }
+}
+
+#[test]
+fn a_backlog_in_each_of_many_queues_has_its_turn_within_a_few_rounds() {
+    let mut bench = untrusted_fleet();
+    for queue in 0..BACKLOG / 10 {
+        for n in 0..10 {
+            let mut spec = JobSpec::single(&format!("waiting-{queue}-{n}"), &format!("q{queue}"), "s", 1, 3_900, 7_900);
+            spec.urgency = Some(BACKLOG_URGENCY);
+            spec.steps[0].most_per_worker = 1;
+            bench.submit(spec);
+        }
+    }
+    let mut spec = JobSpec::single("fits", "q99", "s", 1, 500, 500);
+    spec.urgency = Some(BACKLOG_URGENCY);
+    let job = bench.submit(spec);
+    rounds_until_start(&mut bench, job);
+}
