Weigh few wide shapes a look, however many unlike ones wait

Change: more than eight shapes of a service are rounded up to sixteenths of its largest worker, and the eight that weigh most are kept; up to eight are weighed as before.

--- a/crates/scheduler-core/src/planning/wide_shapes.rs
+++ b/crates/scheduler-core/src/planning/wide_shapes.rs
@@ -2,6 +2,10 @@
 
 /// A task is wide when it takes at least this part, in millionths, of the largest worker of its service.
 const WIDE_PPM: u64 = 250_000;
+/// Shapes weighed for one service at most, since each look at a worker weighs them all.
+const MOST_SHAPES: usize = 8;
+/// Where there are more, rooms are told apart by this part of the largest worker in each dimension.
+const ROOM_PARTS: u64 = 16;
 
 /// Shapes of tasks that take a large part of a worker, as far as tasks of them run or wait. Small tasks that are scattered over
 /// all workers leave no place for them; so a place for one of them is a loss to be weighed when a worker is chosen.
@@ -29,9 +33,29 @@
                 shapes.by_service.entry(service).or_default().push(WideShape { room, weight });
             }
         }
+        for (service, wide) in shapes.by_service.iter_mut().filter(|(_, wide)| wide.len() > MOST_SHAPES) {
+            *wide = Self::merged(wide, largest.get(service).copied().unwrap_or_default());
+        }
         shapes
     }
 
+    /// Shapes of nearly the same room taken together, and of these the ones that weigh most.
+    fn merged(shapes: &[WideShape], largest: Room) -> Vec<WideShape> {
+        let mut by_room: BTreeMap<Room, u64> = BTreeMap::new();
+        for shape in shapes {
+            *by_room.entry(rounded_up(shape.room, largest)).or_default() += shape.weight;
+        }
+        let mut merged: Vec<WideShape> = by_room.into_iter().map(|(room, weight)| WideShape { room, weight }).collect();
+        merged.sort_by_key(|shape| Reverse(shape.weight));
+        merged.truncate(MOST_SHAPES);
+        merged
+    }
+
+    /// How many shapes are weighed for a service.
+    pub fn count(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
     /// The largest worker of each service, dimension by dimension.
     fn largest_workers(state: &ClusterState) -> BTreeMap<Name, Room> {
         let mut largest: BTreeMap<Name, Room> = BTreeMap::new();
@@ -68,3 +92,12 @@
         self.by_service.is_empty()
     }
 }
+
+/// A room rounded up to whole parts of the largest one.
+fn rounded_up(room: Room, largest: Room) -> Room {
+    let up = |part: u64, whole: u64| match whole / ROOM_PARTS {
+        0 => part,
+        unit => part.div_ceil(unit) * unit,
+    };
+    Room::new(up(room.cpu_millis, largest.cpu_millis), up(room.memory_mb, largest.memory_mb)).with_gpus(up(room.gpus, largest.gpus))
+}
--- a/crates/scheduler-core/tests/planner_cost_test.rs
+++ b/crates/scheduler-core/tests/planner_cost_test.rs
@@ -132,6 +132,21 @@
     assert_bounded(&bench.round());
 }
 
+/// Shapes that a look at a worker weighs at most: a look is to take 0.3 us.
+const SHAPES_A_LOOK: usize = 8;
+
+#[test]
+fn a_look_at_a_worker_weighs_few_shapes_however_many_unlike_wide_steps_wait() {
+    let mut bench = Bench::new(2);
+    for n in 0..BACKLOG {
+        bench.submit(JobSpec::single(&format!("wide-{n}"), "q", "s", 4, 3_000 + 3 * n, 5_000 + 7 * n));
+    }
+    let shapes = WideShapes::new(&bench.ledger.state);
+    assert!(shapes.count("s") <= SHAPES_A_LOOK, "{} shapes", shapes.count("s"));
+    let (whole, scattered) = (Room::new(8_000, 16_000), Room::new(1_000, 1_000));
+    assert!(shapes.loss("s", whole, scattered) > 0, "a task that takes the place of a wide one is a loss");
+}
+
 /// Rounds after which a step that fits has started, whatever waits before it: 1.9 s for an urgent start, at 32 ms a round.
 const MOST_ROUNDS: usize = 59;
 /// Urgency of the backlog that costs all looks of a round.
