Give each inlet of the leader bounded turns, and read no call whose caller has gone

Cause: the daemon read calls of the control API last, behind the gateways' frames: under a leader that is never done they wait for ever. A tick was judged before the log's messages that waited, so a leader after a long step counted its peers as silent. Calls whose caller has given up are counted and passed over.

--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -10,6 +10,8 @@
 
 /// Ticks of the core in one election timeout.
 const TICKS_A_TIMEOUT: u64 = 40;
+/// A tick is overdue, and surely there, when as many should have come.
+const TICKS_OVERDUE: u64 = 2;
 /// A step that takes longer than this part of an election timeout is told in the log.
 const SLOW_STEP_PART: u64 = 10;
 /// Inputs that wait for the core at most.
@@ -145,8 +147,18 @@
         let mut dropped_told = LossNews::default();
         let mut leaving: Option<Millis> = None;
         let mut progress = ReadProgress::default();
+        let mut turns = InletTurns::default();
+        let mut ticked_at = 0;
         loop {
             let from = self.clock.now();
+            let turn = turns.next(|inlet| match inlet {
+                Inlet::Cluster => !first_rx.is_empty(),
+                Inlet::Ticks => from >= ticked_at + TICKS_OVERDUE * c.log.election_timeout_ms / TICKS_A_TIMEOUT,
+                Inlet::Calls => !calls.is_empty(),
+                Inlet::Gateways => !rx.is_empty(),
+            });
+            let may_read = |inlet: Inlet| turn.is_none_or(|turn| turn == inlet);
+            // Messages of the log that wait go before a tick: it would judge the silence of their senders.
             let mut input = tokio::select! {
                 biased;
                 () = &mut stop, if leaving.is_none() => {
@@ -154,17 +166,33 @@
                     SchedulerInput::Leave
                 }
                 i = disk_rx.recv() => i.context(crate::daemon_error::DiskGoneSnafu)?,
-                _ = ticks.tick() => SchedulerInput::Tick { wall_ms: wall_ms(), read_to: 0 },
-                Some(Incoming::Input(i)) = first_rx.recv() => i,
-                i = rx.recv() => match i {
-                    None => break,
-                    Some(Incoming::Door(id, inbox)) => {
-                        doors.open(id, inbox);
-                        SchedulerInput::GatewayUp(id)
+                Some(Incoming::Input(i)) = first_rx.recv(), if may_read(Inlet::Cluster) => {
+                    turns.taken(Inlet::Cluster);
+                    i
+                }
+                _ = ticks.tick(), if turn != Some(Inlet::Cluster) => {
+                    turns.taken(Inlet::Ticks);
+                    ticked_at = self.clock.now();
+                    SchedulerInput::Tick { wall_ms: wall_ms(), read_to: 0 }
+                }
+                i = rx.recv(), if may_read(Inlet::Gateways) => {
+                    turns.taken(Inlet::Gateways);
+                    match i {
+                        None => break,
+                        Some(Incoming::Door(id, inbox)) => {
+                            doors.open(id, inbox);
+                            SchedulerInput::GatewayUp(id)
+                        }
+                        Some(Incoming::Input(i)) => i,
+                    }
+                }
+                Some(e) = calls.recv(), if may_read(Inlet::Calls) => {
+                    turns.taken(Inlet::Calls);
+                    if e.reply.is_closed() {
+                        // Its caller has given up: an answer would reach nobody, and what isn't in the log yet needn't be.
+                        counter!("scheduler_calls_abandoned_total").increment(1);
+                        continue;
                     }
-                    Some(Incoming::Input(i)) => i,
-                },
-                Some(e) = calls.recv() => {
                     let waited_ms = self.clock.now().saturating_sub(e.arrived_at);
                     gauge!("scheduler_call_wait_ms").set(waited_ms as f64);
                     last_call += 1;
@@ -299,6 +327,7 @@
         ("scheduler_answers_total", n.answers),
         ("scheduler_shed_total", n.shed),
         ("scheduler_placement_rounds_total", n.rounds),
+        ("scheduler_placement_rounds_cut_total", n.rounds_cut),
         ("scheduler_starts_planned_total", n.planned),
         ("scheduler_planner_looks_total", n.looks.total()),
         ("scheduler_planner_ordering_looks_total", n.looks.ordering),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 mod disk_writer;
 mod event_trace;
 mod gateway_doors;
+mod inlet_turns;
 mod peer_links;
 mod read_progress;
 
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -36,5 +36,6 @@
 pub(crate) use crate::disk_writer::FULL_RETRY;
 pub use crate::event_trace::EventTrace;
 pub use crate::gateway_doors::{GatewayDoors, Incoming, Inlets, read};
+pub use crate::inlet_turns::{Inlet, InletTurns};
 pub use crate::peer_links::PeerLinks;
 pub use crate::read_progress::ReadProgress;
