Remember which attempts have ended, so that a late word of a start makes no orphan of them

Cause: where a step allows copies, a word of a start that came after the end of its attempt, from a former holder, made an orphan of it; told again by the worker's next holder, the same end counted a second time. Change: each task keeps which of its 64 newest attempts have ended by their workers' word, 8 bytes; a start told later says nothing new. An attempt taken as lost, or whose copy stands for it, isn't among them: it may still run.

--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -94,6 +94,9 @@
             }
             Event::OrphanGone { worker, attempt } => {
                 self.tables.orphans.remove(&(*worker, *attempt));
+                if let Some(task) = self.task_mut(attempt.task) {
+                    task.note_ended(attempt.number);
+                }
             }
             Event::WorkerGone { worker, name } => self.worker_gone(*worker, name),
             Event::WallClockAgreed { unix_at_zero_ms } => self.tables.unix_at_zero_ms = Some(*unix_at_zero_ms),
@@ -142,6 +145,10 @@
         self.tables.jobs.get_mut(&id.job)?.step_mut(id)
     }
 
+    fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        self.step_mut(id.step_id())?.tasks.get_mut(id.index as usize)
+    }
+
     /// A task that waits to start again is done.
     fn copy_done(&mut self, task: TaskId) {
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
@@ -158,7 +165,7 @@
     fn copy_failed(&mut self, task: TaskId) {
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
         j.summary.failures += 1;
-        if let Some(t) = j.step_mut(task.step_id()).and_then(|s| s.tasks.get_mut(task.index as usize)) {
+        if let Some(t) = self.task_mut(task) {
             t.failures += 1;
         }
     }
@@ -288,7 +295,7 @@
         let Some(s) = j.step_mut(task.step_id()) else { return };
         let gang_run = st.gang.then_some(s.gang_runs);
         let Some(t) = s.tasks.get_mut(task.index as usize) else { return };
-        t.attempts = gang_run.unwrap_or(t.attempts + 1);
+        t.begin_attempt(gang_run.unwrap_or(t.attempts + 1));
         let number = t.attempts;
         let far = st.near_rack.as_ref().is_some_and(|r| *r != w.told.rack);
         let partial = far || t.checkpoint.is_some();
@@ -411,6 +418,9 @@
         let Some(s) = j.step_mut(task.step_id()) else { return };
         s.live -= 1;
         let Some(t) = s.tasks.get_mut(task.index as usize) else { return };
+        if !superseded && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed | TaskEvent::Stopped) {
+            t.note_ended(a.number);
+        }
         if matches!(how, TaskEvent::Failed | TaskEvent::GivenUp) {
             t.failures += 1;
             t.avoid = Some(a.worker);
--- a/crates/scheduler-core/src/job.rs
+++ b/crates/scheduler-core/src/job.rs
@@ -22,12 +22,48 @@
     /// Where its next attempt goes on from.
     #[n(5)]
     pub checkpoint: Option<String>,
+    /// Which of the newest attempts are known to have ended: the lowest bit stands for the newest one.
+    #[n(6)]
+    #[cbor(default)]
+    pub ended: u64,
 }
 
 impl Task {
     /// A task that nothing has happened to.
     pub fn new() -> Self {
-        Task { state: task_chart().initial(), attempts: 0, failures: 0, avoid: None, stalls: 0, checkpoint: None }
+        Task { state: task_chart().initial(), attempts: 0, failures: 0, avoid: None, stalls: 0, checkpoint: None, ended: 0 }
+    }
+
+    /// Begins the attempt of a number.
+    pub fn begin_attempt(&mut self, number: u16) {
+        let newer = u32::from(number.saturating_sub(self.attempts));
+        self.ended = self.ended.checked_shl(newer).unwrap_or(0);
+        self.attempts = number;
+    }
+
+    /// An attempt ended: nothing of it runs.
+    ///
+    /// ```
+    /// let mut task = scheduler_core::Task::new();
+    /// task.begin_attempt(1);
+    /// task.note_ended(1);
+    /// task.begin_attempt(2);
+    /// assert!(task.has_ended(1) && !task.has_ended(2) && !task.has_ended(3));
+    /// task.begin_attempt(70);
+    /// assert!(!task.has_ended(1), "of attempts so long ago nothing is known");
+    /// ```
+    pub fn note_ended(&mut self, number: u16) {
+        self.ended |= self.ended_bit(number);
+    }
+
+    /// Whether an attempt is known to have ended.
+    pub fn has_ended(&self, number: u16) -> bool {
+        self.ended & self.ended_bit(number) != 0
+    }
+
+    fn ended_bit(&self, number: u16) -> u64 {
+        let older = self.attempts.checked_sub(number);
+        older.and_then(|older| 1u64.checked_shl(u32::from(older))).unwrap_or(0)
     }
 }
 
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -90,7 +90,9 @@
                 self.settle_gang(a.task);
             }
             Some(_) => {}
-            None if self.is_over(a) && !f.ended.iter().any(|e| e.attempt == a) => self.emit(Event::OrphanSeen { worker, attempt: a }),
+            None if self.is_over(a) && !self.has_ended(a) && !f.ended.iter().any(|e| e.attempt == a) => {
+                self.emit(Event::OrphanSeen { worker, attempt: a })
+            }
             None => {}
         }
     }
@@ -185,6 +187,12 @@
         a.task.job < self.state.tables.next_job || self.state.tables.jobs.contains_key(&a.task.job)
     }
 
+    /// Whether an attempt is known to have ended: a word of its start that comes later is an old one.
+    fn has_ended(&self, a: AttemptId) -> bool {
+        let step = self.state.tables.jobs.get(&a.task.job).and_then(|job| job.step(a.task.step_id()));
+        step.and_then(|step| step.tasks.get(a.task.index as usize)).is_some_and(|task| task.has_ended(a.number))
+    }
+
     /// An attempt ended at a worker.
     fn ended(&mut self, worker: WorkerIndex, e: &EndedAttempt) {
         if let Some(c) = &e.checkpoint {
