Send whole views in batches that share their parts, and read attaches before the load

Cause: a gateway gives an attach up after 150 ms and tries again; the leader read attaches behind the load, and built a whole view for each, 1,100 workers and all jobs, also for those that had been given up: 147 gateways at once made more work with each try, and none of it was of use. Change: channels, attaches and pulses have the way past the load; a view's parts that all gateways get alike are built and encoded once for all that wait; at most sixteen views leave at once, and eight batches in a hold interval.

--- a/crates/cluster-messages/src/gateway_frame.rs
+++ b/crates/cluster-messages/src/gateway_frame.rs
@@ -71,3 +71,11 @@
     #[n(4)]
     WantConfiguration,
 }
+
+impl GatewayFrame {
+    /// Whether a scheduler reads it before other frames that wait: its sender gives the channel up when the answer takes long, and it
+    /// needs nothing that was sent before it.
+    pub fn overtakes(&self) -> bool {
+        matches!(self, GatewayFrame::Attach { .. } | GatewayFrame::Pulse { .. })
+    }
+}
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -198,7 +198,7 @@
                     }
                 }
                 SchedulerEffect::Peer { address, bytes } => self.send_peer(i, &address, &bytes),
-                SchedulerEffect::Gateway(channel, f) => self.send_frame(channel, Direction::Down(*f)),
+                SchedulerEffect::Gateway(channel, f) => self.send_frame(channel, Direction::Down((*f).clone())),
                 // Nobody calls a scheduler itself here.
                 SchedulerEffect::Answer { .. } => {}
                 SchedulerEffect::Halt(reason) if matches!(*reason, HaltReason::Retired { .. }) => {
--- a/crates/scheduler-core/src/flush_progress.rs
+++ b/crates/scheduler-core/src/flush_progress.rs
@@ -7,6 +7,8 @@
     pub told_to: u64,
     /// When news that gathers is next due at one of them.
     pub due_at: Millis,
+    /// When whole views may leave again.
+    pub whole_views_at: Millis,
 }
 
 impl FlushProgress {
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -270,7 +270,7 @@
                 done = Some(open.report);
             }
             if let Some(report) = done {
-                self.effects.push(SchedulerEffect::Gateway(*c, Box::new(SchedulerFrame::FactsDone { report })));
+                self.effects.push(SchedulerEffect::Gateway(*c, Arc::new(SchedulerFrame::FactsDone { report })));
             }
         }
     }
--- a/crates/scheduler-core/src/scheduler_input.rs
+++ b/crates/scheduler-core/src/scheduler_input.rs
@@ -74,8 +74,8 @@
         /// The frame.
         bytes: Vec<u8>,
     },
-    /// Send to a gateway.
-    Gateway(ChannelId, Box<SchedulerFrame>),
+    /// Send to a gateway. Frames that several gateways get are shared, so that they need to be encoded once.
+    Gateway(ChannelId, Arc<SchedulerFrame>),
     /// Answer a call that came in at this process, for good.
     Answer {
         /// Its number.
--- a/crates/scheduler-core/src/scheduler_sessions.rs
+++ b/crates/scheduler-core/src/scheduler_sessions.rs
@@ -6,6 +6,10 @@
 const STALE_PART: u64 = 2;
 /// Frames that wait for the lease at most.
 const MOST_HELD: usize = 8_192;
+/// Whole views that leave at once at most.
+const MOST_WHOLE_VIEWS: usize = 16;
+/// Batches of whole views in one hold interval at most.
+const WHOLE_VIEW_BATCHES_A_HOLD: u64 = 8;
 /// A gateway whose channel broke has this part of a silence to attach again.
 const REATTACH_PART: u64 = 4;
 
@@ -162,7 +166,8 @@
         let every = self.settings.view_flush_ms();
         let configuration = self.ledger.state.configuration.version();
         // Most gateways have been told as much as all others: what is urgent is sorted out once for them.
-        let (told_to, mut due_at) = (self.flushed.told_to, Millis::MAX);
+        let (told_to, whole_views_at) = (self.flushed.told_to, self.flushed.whole_views_at);
+        let (mut due_at, mut whole_views) = (Millis::MAX, 0);
         let urgent = self.ledger.journal.since(told_to).map(|news| UrgentNews::of(&self.ledger.state, news));
         let mut builder = ViewBuilder::new(&self.ledger);
         for (c, s) in &mut self.sessions {
@@ -181,8 +186,21 @@
                 continue;
             }
             if wanted.is_none() {
+                // Whole views leave in batches: however many gateways attach at once, the leader has other things to do.
+                if now < whole_views_at || whole_views == MOST_WHOLE_VIEWS {
+                    due_at = due_at.min(whole_views_at.max(now + 1));
+                    continue;
+                }
+                whole_views += 1;
                 let count = if s.ordered == 0 { &mut self.counters.first_views } else { &mut self.counters.overtaken_views };
                 *count += 1;
+                for part in builder.whole(&s.name, s.record.instance) {
+                    self.effects.push(SchedulerEffect::Gateway(*c, part));
+                }
+                self.counters.updates += 1;
+                (s.view, s.ordered, s.scanned, s.flushed_at) = (last, last, last, now);
+                s.configuration = configuration;
+                continue;
             }
             // Orders and ends of jobs go at once; other news of jobs gathers until it is due.
             for u in builder.updates(&s.name, s.record.instance, (s.view, s.ordered), s.configuration, due) {
@@ -191,7 +209,7 @@
                 }
                 s.view = u.upto.max(s.view);
                 self.counters.updates += 1;
-                self.effects.push(SchedulerEffect::Gateway(*c, Box::new(SchedulerFrame::Update(u))));
+                self.effects.push(SchedulerEffect::Gateway(*c, Arc::new(SchedulerFrame::Update(u))));
             }
             (s.ordered, s.scanned) = (last, last);
             if due {
@@ -201,11 +219,16 @@
                 due_at = due_at.min(s.flushed_at + every);
             }
         }
-        self.flushed = FlushProgress { told_to: last, due_at };
+        let pause = self.settings.hold_interval_ms / WHOLE_VIEW_BATCHES_A_HOLD;
+        let whole_views_at = if whole_views > 0 { now + pause } else { whole_views_at };
+        if whole_views == MOST_WHOLE_VIEWS {
+            due_at = due_at.min(whole_views_at);
+        }
+        self.flushed = FlushProgress { told_to: last, due_at, whole_views_at };
     }
 
     /// Sends a frame to a gateway.
     pub(crate) fn send_gateway(&mut self, to: ChannelId, frame: SchedulerFrame) {
-        self.effects.push(SchedulerEffect::Gateway(to, Box::new(frame)));
+        self.effects.push(SchedulerEffect::Gateway(to, Arc::new(frame)));
     }
 }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -33,12 +33,31 @@
     job_news: BTreeMap<u64, JobNews>,
     /// Orders since an event.
     order_news: BTreeMap<u64, OrderNews<'l>>,
+    /// The parts of a whole view that are alike for all gateways.
+    shared_parts: Option<Vec<Arc<SchedulerFrame>>>,
+    /// The tasks that each gateway is to start.
+    unsent_starts: Option<BTreeMap<&'l str, Vec<TaskId>>>,
 }
 
 impl<'l> ViewBuilder<'l> {
     /// A builder over a ledger as it is now.
     pub fn new(ledger: &'l Ledger) -> Self {
-        ViewBuilder { ledger, job_news: BTreeMap::new(), order_news: BTreeMap::new() }
+        ViewBuilder { ledger, job_news: BTreeMap::new(), order_news: BTreeMap::new(), shared_parts: None, unsent_starts: None }
+    }
+
+    /// A whole view in parts: only the last carries a view number, so a channel that breaks between them starts over. The
+    /// configuration comes first, as calls are served by it alone. Each part is small enough for a slow link to carry it well
+    /// within a gateway's patience with its channel.
+    pub fn whole(&mut self, gateway: &str, instance: u64) -> Vec<Arc<SchedulerFrame>> {
+        let ledger = self.ledger;
+        let shared = self.shared_parts.get_or_insert_with(|| {
+            let parts = ledger.shared_parts().into_iter();
+            parts.map(|part| Arc::new(SchedulerFrame::Update(part))).collect()
+        });
+        let starts = self.unsent_starts.get_or_insert_with(|| ledger.unsent_starts());
+        let starts = starts.get(gateway).map_or(&[][..], Vec::as_slice);
+        let own = ledger.own_parts(gateway, instance, starts);
+        shared.iter().cloned().chain(own.into_iter().map(|part| Arc::new(SchedulerFrame::Update(part)))).collect()
     }
 
     /// What changed for a gateway: one update, or the parts of a whole view. `seen` numbers the last event whose news of
@@ -54,7 +73,8 @@
         let ledger = self.ledger;
         let kept = |from: u64| from > 0 && ledger.journal.since(from).is_some();
         if !kept(seen) || !kept(ordered) {
-            return ledger.whole(gateway, instance);
+            let parts = self.whole(gateway, instance);
+            return parts.iter().filter_map(|part| ledger.update_in(part)).collect();
         }
         let orders = self.order_news.entry(ordered).or_insert_with(|| ledger.order_news(ordered));
         let mut update = ledger.orders_of(orders, gateway, instance);
@@ -237,10 +257,16 @@
         Some(u)
     }
 
-    /// A whole view in parts: only the last carries a view number, so a channel that breaks between them starts over. The
-    /// configuration comes first, as calls are served by it alone. Each part is small enough for a slow link to carry it well
-    /// within a gateway's patience with its channel.
-    fn whole(&self, gateway: &str, instance: u64) -> Vec<ViewUpdate> {
+    /// The update in a frame.
+    fn update_in(&self, frame: &SchedulerFrame) -> Option<ViewUpdate> {
+        match frame {
+            SchedulerFrame::Update(update) => Some(update.clone()),
+            _ => None,
+        }
+    }
+
+    /// What a whole view tells all gateways alike: the configuration, all workers and all jobs.
+    fn shared_parts(&self) -> Vec<ViewUpdate> {
         let s = &self.state;
         let zones = s.tables.evacuated.iter().cloned().collect();
         let first =
@@ -248,22 +274,47 @@
         let mut parts = vec![first];
         let workers: Vec<WorkerIndex> = s.tables.workers.keys().copied().collect();
         for some in workers.chunks(WORKERS_A_PART) {
-            let mut part = ViewUpdate::default();
-            for w in some {
-                self.add_worker(&mut part, gateway, *w);
-            }
-            parts.push(part);
+            let workers = some.iter().filter_map(|worker| s.worker_summary(*worker)).collect();
+            parts.push(ViewUpdate { workers, ..ViewUpdate::default() });
         }
         let jobs: Vec<&Job> = s.tables.jobs.values().collect();
         for some in jobs.chunks(JOBS_A_PART) {
             let jobs = some.iter().map(|j| j.summary.clone()).collect();
             parts.push(ViewUpdate { jobs, ..ViewUpdate::default() });
         }
-        let starts = s.tables.attempts.keys().filter_map(|t| self.start_order(gateway, instance, *t)).collect();
+        for part in &mut parts {
+            part.log_time_ms = s.tables.log_time;
+        }
+        parts
+    }
+
+    /// What a whole view tells one gateway: what is on its workers, and its starts with the view number.
+    fn own_parts(&self, gateway: &str, instance: u64, starts: &[TaskId]) -> Vec<ViewUpdate> {
+        let s = &self.state;
+        let held = |worker: &WorkerRecord| worker.gateway.as_deref() == Some(gateway);
+        let workers: Vec<WorkerIndex> = s.tables.workers.iter().filter(|(_, w)| held(w)).map(|(index, _)| *index).collect();
+        let mut parts = Vec::new();
+        for some in workers.chunks(WORKERS_A_PART) {
+            let mut part = ViewUpdate::default();
+            for worker in some {
+                self.add_worker(&mut part, gateway, *worker);
+            }
+            parts.push(part);
+        }
+        let starts = starts.iter().filter_map(|task| self.start_order(gateway, instance, *task)).collect();
         parts.push(ViewUpdate { upto: self.journal.last(), starts, ..ViewUpdate::default() });
-        for p in &mut parts {
-            p.log_time_ms = s.tables.log_time;
+        for part in &mut parts {
+            part.log_time_ms = s.tables.log_time;
         }
         parts
     }
+
+    /// The attempts of which no start is proven, by the gateway that is to send it.
+    fn unsent_starts(&self) -> BTreeMap<&str, Vec<TaskId>> {
+        let mut unsent: BTreeMap<&str, Vec<TaskId>> = BTreeMap::new();
+        for (task, attempt) in self.state.tables.attempts.iter().filter(|(_, attempt)| attempt.started.is_none()) {
+            unsent.entry(&attempt.gateway).or_default().push(*task);
+        }
+        unsent
+    }
 }
--- a/crates/scheduler-core/tests/lapsed_lease_test.rs
+++ b/crates/scheduler-core/tests/lapsed_lease_test.rs
@@ -33,7 +33,7 @@
             for effect in self.cores[n].step(self.now, input) {
                 match effect {
                     SchedulerEffect::Persist(r) => todo.push_back((n, SchedulerInput::Persisted(r.ticket))),
-                    SchedulerEffect::Gateway(CHANNEL, f) => self.frames.push(*f),
+                    SchedulerEffect::Gateway(CHANNEL, f) => self.frames.push((*f).clone()),
                     SchedulerEffect::Peer { address, bytes } => {
                         let Some(to) = ADDRESSES.iter().position(|a| *a == address) else { continue };
                         match self.held_up {
--- a/crates/scheduler-core/tests/lone_scheduler_test.rs
+++ b/crates/scheduler-core/tests/lone_scheduler_test.rs
@@ -34,7 +34,7 @@
                 match e {
                     SchedulerEffect::Persist(r) => todo.push(SchedulerInput::Persisted(r.ticket)),
                     SchedulerEffect::Halt(reason) => self.halted = Some(reason.to_string()),
-                    SchedulerEffect::Gateway(_, f) => self.frames.push(*f),
+                    SchedulerEffect::Gateway(_, f) => self.frames.push((*f).clone()),
                     _ => {}
                 }
             }
--- a/crates/scheduler-core/tests/stale_channel_test.rs
+++ b/crates/scheduler-core/tests/stale_channel_test.rs
@@ -38,7 +38,7 @@
         for e in s.step(now, i) {
             match e {
                 SchedulerEffect::Persist(r) => todo.push_back(SchedulerInput::Persisted(r.ticket)),
-                SchedulerEffect::Gateway(CHANNEL, f) => frames.push(*f),
+                SchedulerEffect::Gateway(CHANNEL, f) => frames.push((*f).clone()),
                 _ => {}
             }
         }
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -166,9 +166,9 @@
                     SchedulerInput::Leave
                 }
                 i = disk_rx.recv() => i.context(crate::daemon_error::DiskGoneSnafu)?,
-                Some(Incoming::Input(i)) = first_rx.recv(), if may_read(Inlet::Cluster) => {
+                Some(i) = first_rx.recv(), if may_read(Inlet::Cluster) => {
                     turns.taken(Inlet::Cluster);
-                    i
+                    doors.take(i)
                 }
                 _ = ticks.tick(), if turn != Some(Inlet::Cluster) => {
                     turns.taken(Inlet::Ticks);
@@ -179,11 +179,7 @@
                     turns.taken(Inlet::Gateways);
                     match i {
                         None => break,
-                        Some(Incoming::Door(id, inbox)) => {
-                            doors.open(id, inbox);
-                            SchedulerInput::GatewayUp(id)
-                        }
-                        Some(Incoming::Input(i)) => i,
+                        Some(i) => doors.take(i),
                     }
                 }
                 Some(e) = calls.recv(), if may_read(Inlet::Calls) => {
@@ -204,8 +200,8 @@
             progress.waited(from, began, rx.is_empty() && first_rx.is_empty());
             match &mut input {
                 SchedulerInput::GatewayDown(id) => doors.close(*id),
-                // A pulse overtakes what waits, so it says nothing of how far that has been read.
-                SchedulerInput::Gateway { arrived_at, frame, .. } if !matches!(**frame, GatewayFrame::Pulse { .. }) => {
+                // What overtakes the load says nothing of how far that has been read.
+                SchedulerInput::Gateway { arrived_at, frame, .. } if !frame.overtakes() => {
                     progress.read(*arrived_at);
                 }
                 SchedulerInput::Tick { read_to, .. } => *read_to = progress.read_to(),
@@ -225,7 +221,7 @@
                 match e {
                     SchedulerEffect::Persist(r) => disk.write(r)?,
                     SchedulerEffect::Peer { address, bytes } => peers.send(&address, bytes),
-                    SchedulerEffect::Gateway(id, f) => doors.send(id, &f),
+                    SchedulerEffect::Gateway(id, f) => doors.send(id, f),
                     SchedulerEffect::Answer { call, result } => {
                         if let Some(r) = replies.remove(&call) {
                             // The caller may be gone.
@@ -242,6 +238,7 @@
                     SchedulerEffect::Leading(None) => info!("leads no more"),
                 }
             }
+            doors.flushed();
             let now = self.clock.now();
             let leads = core.leader_address(now);
             let members = MemberNews::of(&core, now);
--- a/crates/scheduler/src/gateway_doors.rs
+++ b/crates/scheduler/src/gateway_doors.rs
@@ -4,6 +4,8 @@
 #[derive(Default)]
 pub struct GatewayDoors {
     doors: BTreeMap<ChannelId, ChannelInbox>,
+    /// Frames that several gateways get, with their bytes, until all effects of a step are carried out.
+    encoded: Vec<(Arc<SchedulerFrame>, Bytes)>,
 }
 
 /// First byte of a gateway's channel.
@@ -17,6 +19,17 @@
         self.doors.insert(id, inbox);
     }
 
+    /// What a channel brings, as an input of the core.
+    pub fn take(&mut self, incoming: Incoming) -> SchedulerInput {
+        match incoming {
+            Incoming::Door(id, inbox) => {
+                self.open(id, inbox);
+                SchedulerInput::GatewayUp(id)
+            }
+            Incoming::Input(input) => input,
+        }
+    }
+
     /// A channel is gone.
     pub fn close(&mut self, id: ChannelId) {
         if let Some(d) = self.doors.remove(&id) {
@@ -25,13 +38,31 @@
     }
 
     /// Sends a frame.
-    pub fn send(&mut self, id: ChannelId, f: &SchedulerFrame) {
-        if let Some(d) = self.doors.get(&id)
-            && d.send(Bytes::from(f.to_bytes())).is_err()
+    pub fn send(&mut self, id: ChannelId, frame: Arc<SchedulerFrame>) {
+        let bytes = self.bytes_of(frame);
+        if let Some(door) = self.doors.get(&id)
+            && door.send(bytes).is_err()
         {
             self.close(id);
         }
     }
+
+    /// All effects of a step are carried out.
+    pub fn flushed(&mut self) {
+        self.encoded.clear();
+    }
+
+    /// The bytes of a frame; those of one that others get as well are kept.
+    fn bytes_of(&mut self, frame: Arc<SchedulerFrame>) -> Bytes {
+        if let Some((_, bytes)) = self.encoded.iter().find(|(known, _)| Arc::ptr_eq(known, &frame)) {
+            return bytes.clone();
+        }
+        let bytes = Bytes::from(frame.to_bytes());
+        if Arc::strong_count(&frame) > 1 {
+            self.encoded.push((frame, bytes.clone()));
+        }
+        bytes
+    }
 }
 
 /// Something that a channel brings to the core's task.
@@ -43,11 +74,11 @@
 }
 
 /// Where what channels bring goes. What keeps the cluster together has a way of its own past the load: the log's messages, on
-/// which the lease rests, and pulses, whose senders give the channel up when the echo takes long. A pulse needs nothing that was
-/// sent before it on its channel.
+/// which the lease rests, and new channels with their attach and their pulses, whose senders give the channel up when the answer
+/// takes long.
 #[derive(Clone)]
 pub struct Inlets {
-    /// Messages of schedulers, in their order, and pulses of gateways.
+    /// Messages of schedulers, in their order, and channels, attaches and pulses of gateways.
     pub first: mpsc::Sender<Incoming>,
     /// All else.
     pub rest: mpsc::Sender<Incoming>,
@@ -60,7 +91,7 @@
     let inbox = ChannelInbox::spawn(sink, INBOX_FRAMES);
     if protocol == GATEWAY_PROTOCOL {
         let door = Incoming::Door(id, inbox.clone());
-        if tx.send(door).await.is_err() {
+        if inlets.first.send(door).await.is_err() {
             return;
         }
     } else if protocol != crate::peer_links::PEER_PROTOCOL {
@@ -77,7 +108,7 @@
         let input = match protocol {
             GATEWAY_PROTOCOL => match GatewayFrame::from_bytes(&b) {
                 Ok(f) => {
-                    if matches!(f, GatewayFrame::Pulse { .. }) {
+                    if f.overtakes() {
                         inlet = &inlets.first;
                     }
                     SchedulerInput::Gateway { channel: id, arrived_at: clock.now(), frame: Box::new(f) }
--- a/crates/scheduler/src/inlet_turns.rs
+++ b/crates/scheduler/src/inlet_turns.rs
@@ -1,7 +1,8 @@
 /// Where inputs of the core come from that may arrive faster than they are handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Inlet {
-    /// What keeps the cluster together: the log's messages, on which the lease rests, and pulses of gateways.
+    /// What keeps the cluster together: the log's messages, on which the lease rests, and what gateways
+    /// give their channel up without.
     Cluster,
     /// The passing of time: something waits here when a tick is overdue.
     Ticks,
