Take the round's budget and the pause after it back to what placement needs

Cause: 24,576 looks a round and 262,144 in a hold interval, of which an urgency gets half where lesser work waits, are 1.3 times what the load needs: a backlog never shrinks. Change: 65,536 and 1,048,576 again.

--- a/crates/scheduler-core/src/planning/start_planner.rs
+++ b/crates/scheduler-core/src/planning/start_planner.rs
@@ -3,7 +3,7 @@
 /// A job that has nothing running presses after this many hold intervals: its next task may use workers that are set aside.
 const PRESSING_HOLDS: u64 = 3;
 /// Looks of one round at most, but for those of the last step of each urgency: a leader that plans for longer is taken for lost.
-const ROUND_LOOKS: u64 = 24_576;
+const ROUND_LOOKS: u64 = 1 << 16;
 /// What each step costs before any worker is looked at, in looks.
 const STEP_LOOKS: u64 = 8;
 
--- a/crates/scheduler-core/src/scheduler_rounds.rs
+++ b/crates/scheduler-core/src/scheduler_rounds.rs
@@ -13,7 +13,7 @@
 /// Starts planned in one round at most.
 const ROUND_STARTS: usize = 256;
 /// Looks of all rounds of placement in one hold interval at most: the leader has other things to do.
-const LOOKS_A_HOLD: u64 = 1 << 18;
+const LOOKS_A_HOLD: u64 = 1 << 20;
 /// Rounds of placement in one hold interval when nothing changed.
 const IDLE_ROUNDS_A_HOLD: u64 = 4;
 
