--- a/crates/fleet-simulator/src/lib.rs
+++ b/crates/fleet-simulator/src/lib.rs
@@ -12,6 +12,7 @@
 mod plant;
 mod scenario;
 mod scenario_list;
+mod scheduler_backlog;
 mod simulation;
 mod simulation_faults;
 mod simulation_gateways;
@@ -19,6 +20,7 @@
 mod simulation_schedulers;
 mod simulation_settings;
 mod simulation_workers;
+mod step_cost;
 mod worst_figures;
 
 pub use prelude::*;
--- a/crates/fleet-simulator/src/occurrence.rs
+++ b/crates/fleet-simulator/src/occurrence.rs
@@ -38,6 +38,8 @@
 pub enum Occurrence {
     /// A scheduler's tick.
     SchedulerTick(usize, u64),
+    /// A scheduler's step is over.
+    StepOver(usize, u64),
     /// A gateway's tick.
     GatewayTick(usize, u64),
     /// Callers' and operators' tick.
--- a/crates/fleet-simulator/src/prelude.rs
+++ b/crates/fleet-simulator/src/prelude.rs
@@ -1,6 +1,7 @@
 //! Every name this crate's files use.
 
-pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+pub use std::sync::Arc;
 
 pub use caller_stand_in::{CallerEffect, CallerInput, CallerModel, CallerSettings, Model, OperatorModel, OperatorSettings, Profile};
 pub use cluster_messages::prelude::{
@@ -24,12 +25,14 @@
 pub use crate::plant::Plant;
 pub use crate::scenario::{Bounds, Scenario};
 pub use crate::scenario_list::{scenario, scenarios};
+pub use crate::scheduler_backlog::SchedulerBacklog;
 pub use crate::simulation::Simulation;
 pub use crate::simulation_gateways::{GatewayNode, Origin};
 pub use crate::simulation_outcome::SimulationOutcome;
 pub use crate::simulation_schedulers::{Channel, SchedulerNode};
 pub use crate::simulation_settings::SimulationSettings;
 pub use crate::simulation_workers::WorkerNode;
+pub use crate::step_cost::StepCost;
 pub use crate::worst_figures::WorstFigures;
 
 /// Unix time at simulated time 0, in milliseconds.
--- a/crates/fleet-simulator/src/scenario_list.rs
+++ b/crates/fleet-simulator/src/scenario_list.rs
@@ -6,6 +6,10 @@
 const TAKEN_OVER: Bounds = Bounds { outage_ms: 3_000, urgent_start_p99_ms: None };
 /// ... and urgent work starts as fast as it always must.
 const URGENT: Bounds = Bounds { outage_ms: 3_000, urgent_start_p99_ms: Some(1_900) };
+/// Workers, gateways and times the profile's rate where steps take time.
+const LARGE_WORKERS: usize = 72;
+const LARGE_GATEWAYS: usize = 24;
+const LARGE_RATE: f64 = 2.4;
 /// When a scenario's first fault comes.
 const FIRST: Millis = 10_000;
 
@@ -73,6 +77,19 @@
         of("power-loss", "control", "all machines with disks lose power, twice", "synced before acknowledged", BACK, |s| {
             s.faults = vec![(FIRST, Fault::PowerLoss { for_ms: 3_000 }), (25_000, Fault::PowerLoss { for_ms: 500 })];
         }),
+        of(
+            "power-loss-in-a-crowd",
+            "control",
+            "all schedulers and gateways lose power amid a crowd, and steps take as long as on large fleets",
+            "a round's looks and the whole views at once are bounded",
+            BACK,
+            |s| {
+                (s.workers, s.gateways, s.rate) = (LARGE_WORKERS, LARGE_GATEWAYS, LARGE_RATE);
+                s.step_cost = Some(StepCost::as_in_large_fleets());
+                s.faults = vec![(FIRST, Fault::Crowd { times: 6.0, for_ms: 6_000 }), (FIRST + 4_000, Fault::PowerLoss { for_ms: 1_300 })];
+                s.faults.extend((0..s.gateways).map(|gateway| (FIRST + 4_000, Fault::GatewayCrash { gateway, for_ms: 1_300 })));
+            },
+        ),
         of("rolling-restart", "control", "schedulers restart in turns", "election; log on disk", TAKEN_OVER, |s| {
             s.faults = (0..3).map(|i| (FIRST + 8_000 * i as Millis, Fault::SchedulerCrash { scheduler: i, for_ms: 1_000 })).collect();
         }),
--- a/crates/fleet-simulator/src/simulation.rs
+++ b/crates/fleet-simulator/src/simulation.rs
@@ -129,7 +129,16 @@
     }
 
     fn happen(&mut self, o: Occurrence) {
+        match self.busy_scheduler(&o) {
+            Some(busy) => self.schedulers[busy].backlog.push(self.now, o),
+            None => self.handle(self.now, o),
+        }
+    }
+
+    /// Handles what arrived at a time.
+    pub(crate) fn handle(&mut self, arrived_at: Millis, o: Occurrence) {
         match o {
+            Occurrence::StepOver(i, epoch) => self.step_over(i, epoch),
             Occurrence::SchedulerTick(i, epoch) => self.scheduler_tick(i, epoch),
             Occurrence::GatewayTick(i, epoch) => self.gateway_tick(i, epoch),
             Occurrence::ModelTick => {
@@ -142,7 +151,7 @@
             Occurrence::WorkerTick(i) => self.worker(i, WorkerInput::Tick),
             Occurrence::Peer { to, bytes } => self.peer_arrives(to, bytes),
             Occurrence::Dialled { gateway, epoch, address } => self.dialled(gateway, epoch, address),
-            Occurrence::Frame { channel, direction } => self.frame_arrives(channel, direction),
+            Occurrence::Frame { channel, direction } => self.frame_arrives(arrived_at, channel, direction),
             Occurrence::GatewayChannelDown { channel } => self.gateway_channel_down(channel),
             Occurrence::SchedulerChannelDown { channel } => self.scheduler_channel_down(channel),
             Occurrence::Synced { scheduler, epoch, writes } => self.synced(scheduler, epoch, writes),
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -17,6 +17,10 @@
     pub syncing: bool,
     /// Tickets of staged writes.
     pub tickets: VecDeque<u64>,
+    /// True time at which its step is over, in microseconds.
+    pub busy_until_us: u64,
+    /// What waits until then.
+    pub backlog: SchedulerBacklog,
 }
 
 impl Default for SchedulerNode {
@@ -29,10 +33,19 @@
             sync_ms: (1, 3),
             syncing: false,
             tickets: VecDeque::new(),
+            busy_until_us: 0,
+            backlog: SchedulerBacklog::default(),
         }
     }
 }
 
+impl SchedulerNode {
+    /// When its step is over.
+    fn busy_until(&self) -> Millis {
+        self.busy_until_us / 1_000
+    }
+}
+
 /// A channel between a gateway and a scheduler: in order, and whole until it breaks.
 #[derive(Clone, Debug)]
 pub struct Channel {
@@ -79,6 +92,7 @@
         n.machine.booted_at = now;
         n.syncing = false;
         n.tickets.clear();
+        (n.busy_until_us, n.backlog) = (0, SchedulerBacklog::default());
         if fresh_disk {
             n.disk = MemoryLogStorage::new(RestoredState::joining());
             if self.settings.plant != Some(Plant::OldSelf) || n.id == 0 {
@@ -104,6 +118,7 @@
         }
         n.machine.epoch += 1;
         n.machine.frozen_until = 0;
+        (n.busy_until_us, n.backlog) = (0, SchedulerBacklog::default());
         n.disk.tear(whole, cut);
         let broken: Vec<u64> = self.channels.iter().filter(|(_, c)| c.scheduler.0 == i && c.open.1).map(|(n, _)| *n).collect();
         for channel in broken {
@@ -123,7 +138,8 @@
         }
         let next = Self::thaw(&n.machine, self.now);
         if next.is_none() {
-            let (wall_ms, read_to) = (n.machine.wall(self.now), n.machine.now(self.now));
+            let read_to = n.machine.now(n.backlog.unread_since().unwrap_or(self.now));
+            let wall_ms = n.machine.wall(self.now);
             self.scheduler(i, SchedulerInput::Tick { wall_ms, read_to });
         }
         self.agenda.set(next.unwrap_or(self.now + TICK_MS), Occurrence::SchedulerTick(i, epoch));
@@ -184,7 +200,10 @@
         let local = n.machine.now(self.now);
         let Some(core) = n.core.as_mut() else { return };
         let commit = core.replica().commit_index();
+        let looked = core.counters.looks.total();
         let effects = core.step(local, input);
+        let looks = core.counters.looks.total() - looked;
+        self.spend(i, looks, &effects);
         self.check_state(i, commit);
         for e in effects {
             match e {
@@ -217,6 +236,47 @@
         }
     }
 
+    /// A step takes its time.
+    fn spend(&mut self, i: usize, looks: u64, effects: &[SchedulerEffect]) {
+        let Some(cost) = self.settings.step_cost else { return };
+        let step_us = cost.step_us(looks, lines_of(effects));
+        let (now, node) = (self.now, &mut self.schedulers[i]);
+        let was_busy = node.busy_until() > now;
+        node.busy_until_us = node.busy_until_us.max(now * 1_000) + step_us;
+        if !was_busy && node.busy_until() > now {
+            self.agenda.set(node.busy_until(), Occurrence::StepOver(i, node.machine.epoch));
+        }
+    }
+
+    /// The scheduler that is still busy with a step, if something happens to one.
+    pub(crate) fn busy_scheduler(&self, o: &Occurrence) -> Option<usize> {
+        self.settings.step_cost?;
+        let scheduler = match o {
+            Occurrence::SchedulerTick(i, _) => Some(*i),
+            Occurrence::Peer { to, .. } => Some(*to),
+            Occurrence::Synced { scheduler, .. } | Occurrence::Acked { scheduler, .. } => Some(*scheduler),
+            Occurrence::SchedulerChannelDown { channel } => self.channels.get(channel).map(|c| c.scheduler.0),
+            Occurrence::Frame { channel, direction } if matches!(**direction, Direction::Up(_)) => {
+                self.channels.get(channel).map(|c| c.scheduler.0)
+            }
+            _ => None,
+        };
+        scheduler.filter(|i| self.schedulers[*i].busy_until() > self.now || !self.schedulers[*i].backlog.is_empty())
+    }
+
+    /// A scheduler goes on with what came meanwhile.
+    pub(crate) fn step_over(&mut self, i: usize, epoch: u64) {
+        while self.schedulers[i].machine.epoch == epoch {
+            let node = &mut self.schedulers[i];
+            if node.busy_until() > self.now {
+                let over = node.busy_until();
+                return self.agenda.set(over, Occurrence::StepOver(i, epoch));
+            }
+            let Some((arrived_at, o)) = node.backlog.pop() else { return };
+            self.handle(arrived_at, o);
+        }
+    }
+
     /// Compares the folded state with that of whoever was at the same index first.
     fn check_state(&mut self, i: usize, before: u64) {
         let Some(core) = self.schedulers[i].core.as_ref() else { return };
@@ -246,7 +306,8 @@
         }
         for _ in 0..self.network.copies() {
             let delay = self.network.delay();
-            self.agenda.set(self.now + delay, Occurrence::Peer { to, bytes: bytes.to_vec() });
+            let leaves_at = self.schedulers[from].busy_until().max(self.now);
+            self.agenda.set(leaves_at + delay, Occurrence::Peer { to, bytes: bytes.to_vec() });
         }
     }
 
@@ -276,7 +337,9 @@
             open: (true, true),
         };
         self.channels.insert(channel, c);
-        self.scheduler(s, SchedulerInput::GatewayUp(channel));
+        if self.schedulers[s].busy_until() <= self.now {
+            self.scheduler(s, SchedulerInput::GatewayUp(channel));
+        }
         self.gateway(gateway, GatewayInput::ChannelUp { channel, address });
     }
 
@@ -286,7 +349,8 @@
         let (g, s) = (Node::Gateway(c.gateway.0), Node::Scheduler(c.scheduler.0));
         let up = matches!(direction, Direction::Up(_));
         let (from, to) = if up { (g, s) } else { (s, g) };
-        let base = self.network.cut_until(self.now, from, to).unwrap_or(self.now);
+        let leaves_at = if up { self.now } else { self.schedulers[c.scheduler.0].busy_until().max(self.now) };
+        let base = self.network.cut_until(self.now, from, to).unwrap_or(self.now).max(leaves_at);
         let delay = self.network.delay();
         let Some(c) = self.channels.get_mut(&channel) else { return };
         let last = if up { &mut c.last.0 } else { &mut c.last.1 };
@@ -295,7 +359,7 @@
         self.agenda.set(at, Occurrence::Frame { channel, direction: Box::new(direction) });
     }
 
-    pub(crate) fn frame_arrives(&mut self, channel: u64, direction: Box<Direction>) {
+    pub(crate) fn frame_arrives(&mut self, arrived_at: Millis, channel: u64, direction: Box<Direction>) {
         let Some(c) = self.channels.get(&channel) else { return };
         let (g, s, open) = (c.gateway, c.scheduler, c.open);
         let machine = match &*direction {
@@ -311,7 +375,7 @@
                 if self.settings.plant == Some(Plant::FormerHolderBelieved) {
                     self.believe(s.0, &mut f);
                 }
-                let arrived_at = self.schedulers[s.0].machine.now(self.now);
+                let arrived_at = self.schedulers[s.0].machine.now(arrived_at);
                 self.scheduler(s.0, SchedulerInput::Gateway { channel, arrived_at, frame: Box::new(f) })
             }
             Direction::Down(frame) if open.0 && self.gateways[g.0].machine.epoch == g.1 => {
@@ -382,3 +446,17 @@
 const RETURN_MS: Millis = 500;
 /// Log indexes at which folded states are compared.
 const DIGEST_EVERY: u64 = 64;
+
+/// Jobs and workers in updates to gateways, those that several get counted once.
+fn lines_of(effects: &[SchedulerEffect]) -> u64 {
+    let mut counted: HashSet<*const SchedulerFrame> = HashSet::new();
+    let frames = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Gateway(_, frame) => Some(frame),
+        _ => None,
+    });
+    let updates = frames.filter(|frame| counted.insert(Arc::as_ptr(frame))).filter_map(|frame| match &**frame {
+        SchedulerFrame::Update(update) => Some(update.jobs.len() + update.job_changes.len() + update.workers.len()),
+        _ => None,
+    });
+    updates.sum::<usize>() as u64
+}
--- a/crates/fleet-simulator/src/simulation_settings.rs
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -31,6 +31,8 @@
     pub election_timeout_ms: Millis,
     /// A run with more events than this has not ended: something goes round in circles.
     pub most_events: u64,
+    /// What steps of schedulers cost; none: they take no time.
+    pub step_cost: Option<StepCost>,
     /// Whether workers run work only while their lease lasts.
     pub leased: bool,
     /// How callers behave; their gateways and seed are set by the run.
@@ -66,6 +68,7 @@
             outage_ms: 12_000,
             election_timeout_ms: 1_000,
             most_events: MOST_EVENTS,
+            step_cost: None,
             leased: false,
         }
     }
--- a/crates/fleet-simulator/tests/control_scenarios.rs
+++ b/crates/fleet-simulator/tests/control_scenarios.rs
@@ -72,3 +72,8 @@
 fn lost_messages() {
     hold("lost-messages");
 }
+
+#[test]
+fn power_loss_in_a_crowd() {
+    hold("power-loss-in-a-crowd");
+}
