--- a/crates/fleet-simulator/src/lib.rs
+++ b/crates/fleet-simulator/src/lib.rs
@@ -19,6 +19,7 @@
 mod simulation_outcome;
 mod simulation_schedulers;
 mod simulation_settings;
+mod simulation_steps;
 mod simulation_workers;
 mod step_cost;
 mod worst_figures;
