Tell ends that come late, gangs done or started in part, and batches that the log refused

Nothing told the three hypotheses apart. Now a line and a count each: a good end of an attempt that was over for the log; a gang that ended well while members of it wait; a gang started without some of its members; batches refused, with the reports that stood last in them; reports told again after an attach. GangOut and GangRunOver say how many members they are about. No decision changes.

--- a/crates/gateway-core/src/gateway_core.rs
+++ b/crates/gateway-core/src/gateway_core.rs
@@ -241,6 +241,7 @@
         let mut frames = Vec::new();
         if std::mem::take(&mut self.tell_again) {
             frames = self.facts.again(&self.share);
+            self.counters.reports_repeated += frames.len() as u64;
         }
         frames.extend(self.facts.report(self.now, &self.settings, &self.share));
         self.counters.reports_sent += frames.len() as u64;
--- a/crates/gateway-core/src/gateway_counters.rs
+++ b/crates/gateway-core/src/gateway_counters.rs
@@ -65,6 +65,8 @@
     attempts_stalled;
     /// Reports of facts sent, repeats included.
     reports_sent;
+    /// Reports of facts told again after an attach.
+    reports_repeated;
     /// Configuration patches that did not fit.
     configurations_unfit;
 }
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -25,12 +25,14 @@
     AttemptOver { task: TaskId, how: TaskEvent, at: Millis },
     /// A step's last task ended well.
     StepDone { step: StepId },
-    /// A gang is out and must run whole by then.
-    GangOut { step: StepId, by: Millis },
+    /// So many members of a gang are out, and must all run by then.
+    GangOut { step: StepId, by: Millis, members: u32 },
     /// A gang runs whole, or is no longer waited for.
     GangSettled { step: StepId },
-    /// A member of a gang ended well, which stands for all; or its run failed.
-    GangRunOver { step: StepId, well: bool },
+    /// A member of a gang ended well, which stands for all; or its run failed. So many others wait to be started again.
+    GangRunOver { step: StepId, well: bool, waiting: u32 },
+    /// A good end was told of an attempt that was over for the log, of a task that hasn't ended well.
+    LateGoodEnd { worker: WorkerIndex, attempt: AttemptId },
     /// An orphan of a task that waits to start again ended well, which is the task's end.
     CopyDone { task: TaskId },
     /// An orphan of a task failed.
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -37,14 +37,14 @@
             }
             Event::AttemptOver { task, how, at } => self.attempt_over(*task, *how, *at),
             Event::StepDone { step } => self.step_done(*step),
-            Event::GangOut { step, by } => {
+            Event::GangOut { step, by, .. } => {
                 self.gang(*step, Some(*by));
                 if let Some(s) = self.step_mut(*step) {
                     s.gang_runs = s.gang_runs.saturating_add(1);
                 }
             }
             Event::GangSettled { step } => self.gang(*step, None),
-            Event::GangRunOver { step, well } => {
+            Event::GangRunOver { step, well, .. } => {
                 if let Some(s) = self.step_mut(*step) {
                     s.gang_done |= *well;
                     s.gang_failures += u32::from(!*well);
@@ -88,7 +88,7 @@
                     w.gateway.clone_from(gateway);
                 }
             }
-            Event::StaleFacts { .. } => {}
+            Event::StaleFacts { .. } | Event::LateGoodEnd { .. } => {}
             Event::OrphanSeen { worker, attempt } => {
                 self.tables.orphans.insert((*worker, *attempt));
             }
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -218,7 +218,8 @@
                 return;
             }
             let by = at + self.state.tables.rules.gang_time_budget_ms;
-            self.emit(Event::GangOut { step, by });
+            let members = good.len() as u32;
+            self.emit(Event::GangOut { step, by, members });
         }
         for (task, worker) in good {
             self.emit(Event::AttemptIntended { task, worker, at });
@@ -312,7 +313,8 @@
         let given_up = failed_out || copies && how != TaskEvent::Succeeded && self.has_failed_out(task);
         let how = if given_up { TaskEvent::GivenUp } else { how };
         if together && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed) && !s.gang_done {
-            self.emit(Event::GangRunOver { step: id, well: how == TaskEvent::Succeeded });
+            let waiting = s.waiting_count();
+            self.emit(Event::GangRunOver { step: id, well: how == TaskEvent::Succeeded, waiting });
         }
         self.emit(Event::AttemptOver { task, how, at });
         let gang_out = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(id)).is_some_and(|s| s.gang_by.is_some());
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -211,9 +211,18 @@
             self.attempt_over(e.attempt.task, how);
         } else if self.orphan_gone(worker, e.attempt) {
             self.copy_ended(e.attempt.task, e.outcome);
+        } else if e.outcome == Outcome::Succeeded && self.is_unfinished(e.attempt.task) {
+            self.emit(Event::LateGoodEnd { worker, attempt: e.attempt });
         }
     }
 
+    /// Whether a task of a job that goes on has not ended well.
+    fn is_unfinished(&self, task: TaskId) -> bool {
+        let job = self.state.tables.jobs.get(&task.job).filter(|job| job.ending.is_none());
+        let step = job.and_then(|job| job.step(task.step_id()));
+        step.and_then(|step| step.tasks.get(task.index as usize)).is_some_and(|task| task.state != TaskState::Succeeded)
+    }
+
     /// Nothing of an orphan runs any more; false for what isn't one.
     fn orphan_gone(&mut self, worker: WorkerIndex, attempt: AttemptId) -> bool {
         let known = self.state.tables.orphans.contains(&(worker, attempt));
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -75,6 +75,8 @@
     pub overtaken_views: u64,
     /// Batches that the log did not take.
     pub batches_shed: u64,
+    /// Gateways' reports that stood last in such a batch.
+    pub reports_shed: u64,
     /// Commands without a caller that were dropped.
     pub commands_dropped: u64,
     /// Peers' frames that could not be read.
--- a/crates/scheduler-core/src/scheduler_rounds.rs
+++ b/crates/scheduler-core/src/scheduler_rounds.rs
@@ -36,7 +36,9 @@
         }
         for s in self.sessions.values_mut() {
             // The gateway tells its facts again when it attaches again.
+            let before = s.reports.len();
             s.reports.retain(|open| open.batch != token);
+            self.counters.reports_shed += (before - s.reports.len()) as u64;
         }
     }
 
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -295,15 +295,28 @@
 struct LossNews {
     overtaken_views: u64,
     commands_dropped: u64,
+    batches_shed: u64,
+    reports_shed: u64,
 }
 
 impl LossNews {
     /// The line, if there is more than at the last look.
     fn tell(&mut self, core: &Scheduler) {
         let counters = &core.counters;
-        let now = LossNews { overtaken_views: counters.overtaken_views, commands_dropped: counters.commands_dropped };
+        let now = LossNews {
+            overtaken_views: counters.overtaken_views,
+            commands_dropped: counters.commands_dropped,
+            batches_shed: counters.batches_shed,
+            reports_shed: counters.reports_shed,
+        };
         if now != *self {
-            warn!(overtaken_views = now.overtaken_views, commands_dropped = now.commands_dropped, "views sent anew, commands dropped");
+            warn!(
+                overtaken_views = now.overtaken_views,
+                commands_dropped = now.commands_dropped,
+                batches_shed = now.batches_shed,
+                reports_shed = now.reports_shed,
+                "views sent anew, commands dropped, batches that the log refused"
+            );
             *self = now;
         }
     }
--- a/crates/scheduler/src/event_trace.rs
+++ b/crates/scheduler/src/event_trace.rs
@@ -15,9 +15,8 @@
         let last = core.journal().last();
         if core.is_serving(now) && last != self.seen {
             for event in core.journal().since(self.seen).into_iter().flatten() {
-                if let Event::StaleFacts { worker, assignment } = event {
-                    info!(worker = core.state().worker_name(*worker), assignment, "a gateway told of a worker that it holds no more");
-                } else if all {
+                tell_unusual(core, event);
+                if all {
                     debug!(target: "events", log_time = core.state().tables.log_time, ?event);
                 }
             }
@@ -25,3 +24,31 @@
         self.seen = last;
     }
 }
+
+/// The line and the count of an event that an operator should see.
+fn tell_unusual(core: &Scheduler, event: &Event) {
+    match event {
+        Event::StaleFacts { worker, assignment } => {
+            info!(worker = core.state().worker_name(*worker), assignment, "a gateway told of a worker that it holds no more");
+        }
+        Event::GangOut { step, members, .. } if gang_size(core, *step).is_some_and(|size| size != *members) => {
+            counter!("scheduler_gangs_started_in_part_total").increment(1);
+            info!(?step, members, "a gang starts without those of its members that have ended well");
+        }
+        Event::GangRunOver { step, well: true, waiting } if *waiting > 0 => {
+            counter!("scheduler_gangs_done_with_members_waiting_total").increment(1);
+            info!(?step, waiting, "a gang ended well after some of its members were told as over without a good end");
+        }
+        Event::LateGoodEnd { worker, attempt } => {
+            counter!("scheduler_late_good_ends_total").increment(1);
+            info!(worker = core.state().worker_name(*worker), %attempt, "a good end came after its attempt was over");
+        }
+        _ => {}
+    }
+}
+
+/// How many members a gang has; `None` once its job is over.
+fn gang_size(core: &Scheduler, step: StepId) -> Option<u32> {
+    let spec = core.state().tables.jobs.get(&step.job)?.spec.as_deref()?;
+    Some(spec.steps.get(usize::from(step.step))?.tasks)
+}
--- a/crates/scheduler/src/prelude.rs
+++ b/crates/scheduler/src/prelude.rs
@@ -10,7 +10,7 @@
 pub use arc_swap::ArcSwapOption;
 pub use bytes::Bytes;
 pub use cluster_messages::prelude::{
-    AnswerBody, CallBody, CallError, CallResult, ControlCall, GatewayFrame, Millis, SchedulerFrame, WireMessage,
+    AnswerBody, CallBody, CallError, CallResult, ControlCall, GatewayFrame, Millis, SchedulerFrame, StepId, WireMessage,
 };
 pub use futures::StreamExt;
 pub use metrics::{counter, gauge};
