--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -248,7 +248,7 @@
     }
 
     /// Wants all attempts of a range of tasks stopped.
-    fn stop_all(&mut self, tasks: RangeInclusive<TaskId>, reason: StopReason) {
+    pub(crate) fn stop_all(&mut self, tasks: RangeInclusive<TaskId>, reason: StopReason) {
         let live: Vec<TaskId> = self.state.tables.attempts.range(tasks).map(|(t, _)| *t).collect();
         for t in live {
             self.stop(t, reason);
@@ -270,64 +270,4 @@
         let at = self.now();
         self.emit(Event::JobOver { job, state, at });
     }
-
-    /// Stops what is out of a gang that can't run whole, so that nobody waits alone.
-    pub(crate) fn break_gang(&mut self, step: StepId) {
-        self.stop_all(step.tasks(), StopReason::GangBroken);
-    }
-
-    /// A task ended well: with the last one its step is done.
-    pub(crate) fn after_success(&mut self, task: TaskId) {
-        let step = task.step_id();
-        let Some(j) = self.state.tables.jobs.get(&task.job).filter(|j| j.ending.is_none()) else { return };
-        let tasks = j.spec.as_deref().and_then(|s| s.steps.get(usize::from(task.step))).map(|s| s.tasks);
-        let Some(s) = j.step(step).filter(|s| Some(s.succeeded) == tasks) else { return };
-        if s.gang_by.is_some() {
-            self.emit(Event::GangSettled { step });
-        }
-        self.emit(Event::StepDone { step });
-    }
-
-    /// An attempt is over: the one place where that is acted on.
-    pub(crate) fn attempt_over(&mut self, task: TaskId, how: TaskEvent) {
-        let at = self.now();
-        let id = task.step_id();
-        let Some(j) = self.state.tables.jobs.get(&task.job) else { return };
-        let Some(spec) = j.spec.as_deref() else { return };
-        let Some(s) = j.step(id) else { return };
-        let st = &spec.steps[task.step as usize];
-        let (gang, was_ending) = (st.gang, j.ending.is_some());
-        let together = gang && st.ends_together;
-        let lasting = spec.run_until_cancelled && spec.allowed_failures.is_none();
-        let how = match how {
-            // Whatever has no end of its own is started again however it ends.
-            TaskEvent::Succeeded | TaskEvent::Failed if lasting => TaskEvent::Lost,
-            // One member's good end stands for its whole gang.
-            _ if together && s.gang_done => TaskEvent::Succeeded,
-            other => other,
-        };
-        let failures = if together { s.gang_failures } else { s.tasks.get(task.index as usize).map_or(0, |t| t.failures) };
-        let copies = st.copies && !gang;
-        let failed_out = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures.unwrap_or(0);
-        // A copy may have failed the last time that was allowed while this attempt ran.
-        let given_up = failed_out || copies && how != TaskEvent::Succeeded && self.has_failed_out(task);
-        let how = if given_up { TaskEvent::GivenUp } else { how };
-        if together && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed) && !s.gang_done {
-            let waiting = s.waiting_count();
-            self.emit(Event::GangRunOver { step: id, well: how == TaskEvent::Succeeded, waiting });
-        }
-        self.emit(Event::AttemptOver { task, how, at });
-        let gang_out = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(id)).is_some_and(|s| s.gang_by.is_some());
-        if how == TaskEvent::Succeeded {
-            self.after_success(task);
-        } else if given_up && !was_ending {
-            self.end_job(task.job, JobState::Failed);
-        } else if gang && !was_ending {
-            if gang_out {
-                self.emit(Event::GangSettled { step: id });
-            }
-            self.break_gang(id);
-        }
-        self.settle_job(task.job);
-    }
 }
--- /dev/null
+++ b/crates/scheduler-core/src/ledger_ends.rs
@@ -0,0 +1,142 @@
+//! What ends attempts, and what follows from their ends.
+
+use crate::prelude::*;
+
+impl Ledger {
+    /// An attempt ended at a worker.
+    pub(crate) fn ended(&mut self, worker: WorkerIndex, e: &EndedAttempt) {
+        if let Some(c) = &e.checkpoint {
+            self.checkpoint(worker, e.attempt, c);
+        }
+        if self.live(worker, e.attempt).is_some() {
+            let how = match e.outcome {
+                Outcome::Succeeded => TaskEvent::Succeeded,
+                Outcome::Failed => TaskEvent::Failed,
+                Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => TaskEvent::Stopped,
+            };
+            if self.state.tables.attempts[&e.attempt.task].started.is_none() && how != TaskEvent::Stopped {
+                let (at, boot_id) = (self.now(), self.state.tables.workers[&worker].told.boot_id.clone());
+                self.emit(Event::AttemptStarted { task: e.attempt.task, boot_id, at });
+            }
+            self.attempt_over(e.attempt.task, how);
+        } else if self.orphan_gone(worker, e.attempt) {
+            self.copy_ended(e.attempt.task, e.outcome);
+        } else if e.outcome == Outcome::Succeeded && self.is_unfinished(e.attempt.task) {
+            self.emit(Event::LateGoodEnd { worker, attempt: e.attempt });
+        }
+    }
+
+    /// Whether a task of a job that goes on has not ended well.
+    fn is_unfinished(&self, task: TaskId) -> bool {
+        let job = self.state.tables.jobs.get(&task.job).filter(|job| job.ending.is_none());
+        let step = job.and_then(|job| job.step(task.step_id()));
+        step.and_then(|step| step.tasks.get(task.index as usize)).is_some_and(|task| task.state != TaskState::Succeeded)
+    }
+
+    /// An attempt doesn't run on a worker and never will, or not any more.
+    pub(crate) fn runs_no_more(&mut self, worker: WorkerIndex, a: AttemptId) {
+        match self.live(worker, a).map(|x| x.started.is_some()) {
+            Some(started) => self.attempt_over(a.task, if started { TaskEvent::Lost } else { TaskEvent::Voided }),
+            None => {
+                self.orphan_gone(worker, a);
+            }
+        }
+    }
+
+    /// An attempt is over: the one place where that is acted on.
+    pub(crate) fn attempt_over(&mut self, task: TaskId, how: TaskEvent) {
+        let at = self.now();
+        let id = task.step_id();
+        let Some(j) = self.state.tables.jobs.get(&task.job) else { return };
+        let Some(spec) = j.spec.as_deref() else { return };
+        let Some(s) = j.step(id) else { return };
+        let st = &spec.steps[task.step as usize];
+        let (gang, was_ending) = (st.gang, j.ending.is_some());
+        let together = gang && st.ends_together;
+        let lasting = spec.run_until_cancelled && spec.allowed_failures.is_none();
+        let how = match how {
+            // Whatever has no end of its own is started again however it ends.
+            TaskEvent::Succeeded | TaskEvent::Failed if lasting => TaskEvent::Lost,
+            // One member's good end stands for its whole gang.
+            _ if together && s.gang_done => TaskEvent::Succeeded,
+            other => other,
+        };
+        let failures = if together { s.gang_failures } else { s.tasks.get(task.index as usize).map_or(0, |t| t.failures) };
+        let copies = st.copies && !gang;
+        let failed_out = how == TaskEvent::Failed && failures + 1 > spec.allowed_failures.unwrap_or(0);
+        // A copy may have failed the last time that was allowed while this attempt ran.
+        let given_up = failed_out || copies && how != TaskEvent::Succeeded && self.has_failed_out(task);
+        let how = if given_up { TaskEvent::GivenUp } else { how };
+        if together && matches!(how, TaskEvent::Succeeded | TaskEvent::Failed) && !s.gang_done {
+            let waiting = s.waiting_count();
+            self.emit(Event::GangRunOver { step: id, well: how == TaskEvent::Succeeded, waiting });
+        }
+        self.emit(Event::AttemptOver { task, how, at });
+        let gang_out = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(id)).is_some_and(|s| s.gang_by.is_some());
+        if how == TaskEvent::Succeeded {
+            self.after_success(task);
+        } else if given_up && !was_ending {
+            self.end_job(task.job, JobState::Failed);
+        } else if gang && !was_ending {
+            if gang_out {
+                self.emit(Event::GangSettled { step: id });
+            }
+            self.break_gang(id);
+        }
+        self.settle_job(task.job);
+    }
+
+    /// A task ended well: with the last one its step is done.
+    pub(crate) fn after_success(&mut self, task: TaskId) {
+        let step = task.step_id();
+        let Some(j) = self.state.tables.jobs.get(&task.job).filter(|j| j.ending.is_none()) else { return };
+        let tasks = j.spec.as_deref().and_then(|s| s.steps.get(usize::from(task.step))).map(|s| s.tasks);
+        let Some(s) = j.step(step).filter(|s| Some(s.succeeded) == tasks) else { return };
+        if s.gang_by.is_some() {
+            self.emit(Event::GangSettled { step });
+        }
+        self.emit(Event::StepDone { step });
+    }
+
+    /// Stops what is out of a gang that can't run whole, so that nobody waits alone.
+    pub(crate) fn break_gang(&mut self, step: StepId) {
+        self.stop_all(step.tasks(), StopReason::GangBroken);
+    }
+
+    /// Looks whether a gang runs whole.
+    pub(crate) fn settle_gang(&mut self, task: TaskId) {
+        let step = task.step_id();
+        let Some(s) = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(step)) else { return };
+        if s.gang_by.is_none() {
+            return;
+        }
+        if self.state.tables.attempts.range(step.tasks()).all(|(_, a)| a.started.is_some()) {
+            self.emit(Event::GangSettled { step });
+        }
+    }
+
+    /// Nothing of an orphan runs any more; false for what isn't one.
+    pub(crate) fn orphan_gone(&mut self, worker: WorkerIndex, attempt: AttemptId) -> bool {
+        let known = self.state.tables.orphans.contains(&(worker, attempt));
+        if known {
+            self.emit(Event::OrphanGone { worker, attempt });
+        }
+        known
+    }
+
+    /// The live attempt of that id on that worker.
+    pub(crate) fn live(&self, worker: WorkerIndex, a: AttemptId) -> Option<&Attempt> {
+        self.state.tables.attempts.get(&a.task).filter(|x| x.worker == worker && x.number == a.number)
+    }
+
+    /// Whether an attempt id was given out and is over.
+    pub(crate) fn is_over(&self, a: AttemptId) -> bool {
+        a.task.job < self.state.tables.next_job || self.state.tables.jobs.contains_key(&a.task.job)
+    }
+
+    /// Whether an attempt is known to have ended: a word of its start that comes later is an old one.
+    pub(crate) fn has_ended(&self, a: AttemptId) -> bool {
+        let step = self.state.tables.jobs.get(&a.task.job).and_then(|job| job.step(a.task.step_id()));
+        step.and_then(|step| step.tasks.get(a.task.index as usize)).is_some_and(|task| task.has_ended(a.number))
+    }
+}
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -97,16 +97,6 @@
         }
     }
 
-    /// An attempt doesn't run on a worker and never will, or not any more.
-    fn runs_no_more(&mut self, worker: WorkerIndex, a: AttemptId) {
-        match self.live(worker, a).map(|x| x.started.is_some()) {
-            Some(started) => self.attempt_over(a.task, if started { TaskEvent::Lost } else { TaskEvent::Voided }),
-            None => {
-                self.orphan_gone(worker, a);
-            }
-        }
-    }
-
     /// What the gateway that holds a worker tells of it as it is now.
     fn holder_tells(&mut self, i: WorkerIndex, f: &WorkerFacts) {
         for &a in &f.missing {
@@ -171,79 +161,12 @@
     }
 
     /// A checkpoint of a live attempt.
-    fn checkpoint(&mut self, worker: WorkerIndex, a: AttemptId, checkpoint: &str) {
+    pub(crate) fn checkpoint(&mut self, worker: WorkerIndex, a: AttemptId, checkpoint: &str) {
         if !checkpoint.is_empty() && self.live(worker, a).is_some() {
             self.emit(Event::CheckpointSeen { task: a.task, checkpoint: checkpoint.to_owned() });
         }
     }
 
-    /// The live attempt of that id on that worker.
-    fn live(&self, worker: WorkerIndex, a: AttemptId) -> Option<&Attempt> {
-        self.state.tables.attempts.get(&a.task).filter(|x| x.worker == worker && x.number == a.number)
-    }
-
-    /// Whether an attempt id was given out and is over.
-    fn is_over(&self, a: AttemptId) -> bool {
-        a.task.job < self.state.tables.next_job || self.state.tables.jobs.contains_key(&a.task.job)
-    }
-
-    /// Whether an attempt is known to have ended: a word of its start that comes later is an old one.
-    fn has_ended(&self, a: AttemptId) -> bool {
-        let step = self.state.tables.jobs.get(&a.task.job).and_then(|job| job.step(a.task.step_id()));
-        step.and_then(|step| step.tasks.get(a.task.index as usize)).is_some_and(|task| task.has_ended(a.number))
-    }
-
-    /// An attempt ended at a worker.
-    fn ended(&mut self, worker: WorkerIndex, e: &EndedAttempt) {
-        if let Some(c) = &e.checkpoint {
-            self.checkpoint(worker, e.attempt, c);
-        }
-        if self.live(worker, e.attempt).is_some() {
-            let how = match e.outcome {
-                Outcome::Succeeded => TaskEvent::Succeeded,
-                Outcome::Failed => TaskEvent::Failed,
-                Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => TaskEvent::Stopped,
-            };
-            if self.state.tables.attempts[&e.attempt.task].started.is_none() && how != TaskEvent::Stopped {
-                let (at, boot_id) = (self.now(), self.state.tables.workers[&worker].told.boot_id.clone());
-                self.emit(Event::AttemptStarted { task: e.attempt.task, boot_id, at });
-            }
-            self.attempt_over(e.attempt.task, how);
-        } else if self.orphan_gone(worker, e.attempt) {
-            self.copy_ended(e.attempt.task, e.outcome);
-        } else if e.outcome == Outcome::Succeeded && self.is_unfinished(e.attempt.task) {
-            self.emit(Event::LateGoodEnd { worker, attempt: e.attempt });
-        }
-    }
-
-    /// Whether a task of a job that goes on has not ended well.
-    fn is_unfinished(&self, task: TaskId) -> bool {
-        let job = self.state.tables.jobs.get(&task.job).filter(|job| job.ending.is_none());
-        let step = job.and_then(|job| job.step(task.step_id()));
-        step.and_then(|step| step.tasks.get(task.index as usize)).is_some_and(|task| task.state != TaskState::Succeeded)
-    }
-
-    /// Nothing of an orphan runs any more; false for what isn't one.
-    fn orphan_gone(&mut self, worker: WorkerIndex, attempt: AttemptId) -> bool {
-        let known = self.state.tables.orphans.contains(&(worker, attempt));
-        if known {
-            self.emit(Event::OrphanGone { worker, attempt });
-        }
-        known
-    }
-
-    /// Looks whether a gang runs whole.
-    fn settle_gang(&mut self, task: TaskId) {
-        let step = task.step_id();
-        let Some(s) = self.state.tables.jobs.get(&task.job).and_then(|j| j.step(step)) else { return };
-        if s.gang_by.is_none() {
-            return;
-        }
-        if self.state.tables.attempts.range(step.tasks()).all(|(_, a)| a.started.is_some()) {
-            self.emit(Event::GangSettled { step });
-        }
-    }
-
     /// Voids what is on its way to a worker.
     fn void_unproven(&mut self, worker: WorkerIndex, reason: StopReason) {
         for t in self.tasks_on(worker) {
