Let a run's outcome stand in whatever order the facts about it come

Cause: the outcome of a run was looked up for the member at hand, not settled for the run. A member told as over without a good end (its worker's life or lease over, its start void) before another member's good end went back to waiting; nothing settled it when the good end came, and a start of as many members as wait was accepted. The same class: a good or failed end told of an attempt that the log had given up was passed over, and the task started again; members that failed in one run counted as one failure each.

Ruled out as the place to mend: the planner (it starts what the state says waits) and the gateways (a later order of facts can't be forced: after a second without a leader they tell in the order in which they attach).

Change: a good end settles the run: members that wait have ended well, what was started of the gang since is stopped. An end told late is the task's end or counts among its failures, once (the numbers of ended attempts stand in the log). A gang that ends together starts whole or not at all. A run's failure counts once. Copies use the same path; their own is gone.

--- a/crates/cluster-messages/src/job_spec.rs
+++ b/crates/cluster-messages/src/job_spec.rs
@@ -127,6 +127,20 @@
     pub copies: bool,
 }
 
+impl StepSpec {
+    /// Whether it is a gang whose members end together.
+    ///
+    /// ```
+    /// use cluster_messages::StepSpec;
+    /// let gang = StepSpec { gang: true, ends_together: true, ..StepSpec::default() };
+    /// assert!(gang.is_gang_that_ends_together());
+    /// assert!(!StepSpec { gang: false, ..gang }.is_gang_that_ends_together());
+    /// ```
+    pub fn is_gang_that_ends_together(&self) -> bool {
+        self.gang && self.ends_together
+    }
+}
+
 /// A job whose steps run several times. Occurrences may overlap.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 #[serde(deny_unknown_fields)]
--- a/crates/scheduler-core/src/cluster_state.rs
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -297,6 +297,16 @@
         self.ready.set(ready_group(spec, id), (due_at, id), ready);
     }
 
+    /// With how many members a gang may start: with all that wait, which are all that it has where they end together. `None` while it may
+    /// not start.
+    pub(crate) fn gang_to_start(&self, id: StepId) -> Option<u32> {
+        let job = self.tables.jobs.get(&id.job)?;
+        let (step, spec) = (job.step(id)?, job.spec.as_deref()?.steps.get(usize::from(id.step))?);
+        let waiting = step.waiting_count();
+        let whole = !spec.is_gang_that_ends_together() || waiting == spec.tasks && !step.gang_done;
+        (step.live == 0 && whole).then_some(waiting)
+    }
+
     /// Takes over the bounds of the placement classes.
     pub(crate) fn retune_bands(&mut self) {
         self.bands.retune(placement_settings(self.tables.rules.first_class_ms));
--- a/crates/scheduler-core/src/event.rs
+++ b/crates/scheduler-core/src/event.rs
@@ -29,14 +29,15 @@
     GangOut { step: StepId, by: Millis, members: u32 },
     /// A gang runs whole, or is no longer waited for.
     GangSettled { step: StepId },
-    /// A member of a gang ended well, which stands for all; or its run failed. So many others wait to be started again.
-    GangRunOver { step: StepId, well: bool, waiting: u32 },
-    /// A good end was told of an attempt that was over for the log, of a task that hasn't ended well.
-    LateGoodEnd { worker: WorkerIndex, attempt: AttemptId },
-    /// An orphan of a task that waits to start again ended well, which is the task's end.
-    CopyDone { task: TaskId },
-    /// An orphan of a task failed.
-    CopyFailed { task: TaskId },
+    /// A run of a gang that ends together is over: its good end is that of all members, its failure counts once. So many members wait to
+    /// be started again.
+    GangRunOver { step: StepId, run: u16, well: bool, waiting: u32 },
+    /// How an attempt ended was told after it was over for the log, and its task goes on.
+    LateEnd { worker: WorkerIndex, attempt: AttemptId, outcome: Outcome },
+    /// A task that waits to start again has ended well, as was told late.
+    TaskDoneLate { task: TaskId },
+    /// A task has failed once more, as was told late.
+    TaskFailedLate { task: TaskId },
     /// Where a task goes on from when it starts again.
     CheckpointSeen { task: TaskId, checkpoint: String },
     /// A worker is known, or told of itself anew.
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -44,14 +44,9 @@
                 }
             }
             Event::GangSettled { step } => self.gang(*step, None),
-            Event::GangRunOver { step, well, .. } => {
-                if let Some(s) = self.step_mut(*step) {
-                    s.gang_done |= *well;
-                    s.gang_failures += u32::from(!*well);
-                }
-            }
-            Event::CopyDone { task } => self.copy_done(*task),
-            Event::CopyFailed { task } => self.copy_failed(*task),
+            Event::GangRunOver { step, run, well, .. } => self.gang_run_over(*step, *run, *well),
+            Event::TaskDoneLate { task } => self.task_done_late(*task),
+            Event::TaskFailedLate { task } => self.task_failed_late(*task),
             Event::CheckpointSeen { task, checkpoint } => self.checkpoint_seen(*task, checkpoint),
             Event::WorkerKnown { worker, told } => self.worker_known(*worker, told),
             Event::WorkerReborn { worker, boot_id } => {
@@ -88,7 +83,12 @@
                     w.gateway.clone_from(gateway);
                 }
             }
-            Event::StaleFacts { .. } | Event::LateGoodEnd { .. } => {}
+            Event::StaleFacts { .. } => {}
+            Event::LateEnd { attempt, .. } => {
+                if let Some(task) = self.task_mut(attempt.task) {
+                    task.note_ended(attempt.number);
+                }
+            }
             Event::OrphanSeen { worker, attempt } => {
                 self.tables.orphans.insert((*worker, *attempt));
             }
--- a/crates/scheduler-core/src/fold_attempts.rs
+++ b/crates/scheduler-core/src/fold_attempts.rs
@@ -211,7 +211,7 @@
     }
 
     /// A task that waits to start again is done.
-    pub(crate) fn copy_done(&mut self, task: TaskId) {
+    pub(crate) fn task_done_late(&mut self, task: TaskId) {
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
         let Some(s) = j.step_mut(task.step_id()) else { return };
         let Some(t) = s.tasks.get_mut(task.index as usize).filter(|t| t.state == TaskState::Waiting) else { return };
@@ -223,7 +223,7 @@
     }
 
     /// One more failure of a task.
-    pub(crate) fn copy_failed(&mut self, task: TaskId) {
+    pub(crate) fn task_failed_late(&mut self, task: TaskId) {
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
         j.summary.failures += 1;
         if let Some(t) = self.task_mut(task) {
@@ -231,6 +231,28 @@
         }
     }
 
+    /// A run of a gang that ends together is over. A good end is also that of the members that wait to be started again: they were told
+    /// as over before anyone told how the run ended.
+    pub(crate) fn gang_run_over(&mut self, id: StepId, run: u16, well: bool) {
+        let Some(job) = self.tables.jobs.get_mut(&id.job) else { return };
+        let ending = job.ending.is_some();
+        let Some(step) = job.step_mut(id) else { return };
+        if !well {
+            step.gang_failures += 1;
+            step.newest_failed_run = run;
+            return;
+        }
+        step.gang_done = true;
+        if ending {
+            // Waiting tasks were dropped as the job began to end.
+            return;
+        }
+        for _ in 0..step.succeed_waiting() {
+            job.count(TaskState::Waiting, TaskState::Succeeded);
+        }
+        self.refresh_ready(id);
+    }
+
     /// A checkpoint serves one task, or all members of a gang.
     pub(crate) fn checkpoint_seen(&mut self, task: TaskId, checkpoint: &str) {
         let Some(j) = self.tables.jobs.get_mut(&task.job) else { return };
--- a/crates/scheduler-core/src/job.rs
+++ b/crates/scheduler-core/src/job.rs
@@ -110,6 +110,10 @@
     /// How many of its tasks ended well with a known duration, and how long these ran in all.
     #[n(10)]
     pub durations: (u32, Millis),
+    /// The newest run of a gang whose failure is counted; 0: none.
+    #[n(11)]
+    #[cbor(default)]
+    pub newest_failed_run: u16,
 }
 
 impl Step {
@@ -127,6 +131,7 @@
             gang_failures: 0,
             gang_done: false,
             durations: (0, 0),
+            newest_failed_run: 0,
         }
     }
 
@@ -135,6 +140,24 @@
         self.again.iter().copied().chain(self.fresh..self.tasks.len() as u32)
     }
 
+    /// All tasks that wait have ended well; gives how many.
+    pub fn succeed_waiting(&mut self) -> u32 {
+        let mut settled = 0;
+        for task in self.tasks.iter_mut().filter(|task| task.state == TaskState::Waiting) {
+            task.state = TaskState::Succeeded;
+            settled += 1;
+        }
+        self.again.clear();
+        self.fresh = self.tasks.len() as u32;
+        self.succeeded += settled;
+        settled
+    }
+
+    /// Failures of a gang, once that of a run is counted.
+    pub fn gang_failures_with(&self, run: u16) -> u32 {
+        self.gang_failures + u32::from(run > self.newest_failed_run)
+    }
+
     /// How many could start now.
     pub fn waiting_count(&self) -> u32 {
         self.again.len() as u32 + (self.tasks.len() as u32).saturating_sub(self.fresh)
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -213,8 +213,7 @@
         }
         if gang {
             let Some(step) = good.first().map(|(t, _)| t.step_id()) else { return };
-            let Some(s) = self.state.tables.jobs.get(&step.job).and_then(|j| j.step(step)) else { return };
-            if good.len() != starts.len() || s.live > 0 || s.waiting_count() as usize != starts.len() {
+            if good.len() != starts.len() || self.state.gang_to_start(step) != Some(starts.len() as u32) {
                 return;
             }
             let by = at + self.state.tables.rules.gang_time_budget_ms;
--- a/crates/scheduler-core/src/ledger_copies.rs
+++ b/crates/scheduler-core/src/ledger_copies.rs
@@ -17,38 +17,8 @@
         }
     }
 
-    /// An orphan of a task that is still wanted ended: a good end is the task's, a failed one counts among its failures.
-    pub(crate) fn copy_ended(&mut self, task: TaskId, outcome: Outcome) {
-        if !self.allows_copies(task)
-            || self.task_state(task).is_none_or(|s| !matches!(s, TaskState::Waiting | TaskState::Starting | TaskState::Running))
-        {
-            return;
-        }
-        match outcome {
-            Outcome::Succeeded if self.state.tables.attempts.contains_key(&task) => {
-                self.detach(task);
-                self.attempt_over(task, TaskEvent::Succeeded);
-            }
-            Outcome::Succeeded => {
-                self.emit(Event::CopyDone { task });
-                self.after_success(task);
-                self.settle_job(task.job);
-            }
-            Outcome::Failed => self.copy_failed(task),
-            Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => {}
-        }
-    }
-
-    fn copy_failed(&mut self, task: TaskId) {
-        self.emit(Event::CopyFailed { task });
-        let live = self.state.tables.attempts.contains_key(&task);
-        if !live && self.has_failed_out(task) {
-            self.end_job(task.job, JobState::Failed);
-        }
-    }
-
     /// The log counts on an attempt no more; it may still run.
-    fn detach(&mut self, task: TaskId) {
+    pub(crate) fn detach(&mut self, task: TaskId) {
         if let Some(a) = self.state.tables.attempts.get(&task) {
             let (worker, number) = (a.worker, a.number);
             self.emit(Event::OrphanSeen { worker, attempt: AttemptId { task, number } });
@@ -70,16 +40,16 @@
         spec.steps.get(usize::from(task.step)).is_some_and(|s| s.copies && !s.gang)
     }
 
-    /// Whether a task failed as often as its job allows, and once more.
+    /// Whether a task, or the gang that it is a member of, failed as often as its job allows, and once more.
     pub(crate) fn has_failed_out(&self, task: TaskId) -> bool {
         let Some(job) = self.state.tables.jobs.get(&task.job) else { return false };
-        let allowed = job.spec.as_deref().and_then(|s| s.allowed_failures).unwrap_or(0);
-        let failures = job.step(task.step_id()).and_then(|s| s.tasks.get(task.index as usize)).map_or(0, |t| t.failures);
-        failures > allowed
-    }
-
-    fn task_state(&self, task: TaskId) -> Option<TaskState> {
-        let step = self.state.tables.jobs.get(&task.job)?.step(task.step_id())?;
-        Some(step.tasks.get(task.index as usize)?.state)
+        let Some(spec) = job.spec.as_deref() else { return false };
+        let Some(step) = job.step(task.step_id()) else { return false };
+        let together = spec.steps.get(usize::from(task.step)).is_some_and(StepSpec::is_gang_that_ends_together);
+        let failures = match together {
+            true => step.gang_failures,
+            false => step.tasks.get(task.index as usize).map_or(0, |task| task.failures),
+        };
+        failures > spec.allowed_failures.unwrap_or(0)
     }
 }
--- a/crates/scheduler-core/src/view_builder.rs
+++ b/crates/scheduler-core/src/view_builder.rs
@@ -112,10 +112,13 @@
                 Event::AttemptIntended { task, .. }
                 | Event::AttemptStarted { task, .. }
                 | Event::AttemptOver { task, .. }
-                | Event::CopyDone { task }
-                | Event::CopyFailed { task } => {
+                | Event::TaskDoneLate { task }
+                | Event::TaskFailedLate { task } => {
                     changed.insert(task.job);
                 }
+                Event::GangRunOver { step, .. } => {
+                    changed.insert(step.job);
+                }
                 _ => {}
             }
         }
--- a/crates/scheduler/src/event_trace.rs
+++ b/crates/scheduler/src/event_trace.rs
@@ -35,13 +35,13 @@
             counter!("scheduler_gangs_started_in_part_total").increment(1);
             info!(?step, members, "a gang starts without those of its members that have ended well");
         }
-        Event::GangRunOver { step, well: true, waiting } if *waiting > 0 => {
+        Event::GangRunOver { step, well: true, waiting, .. } if *waiting > 0 => {
             counter!("scheduler_gangs_done_with_members_waiting_total").increment(1);
             info!(?step, waiting, "a gang ended well after some of its members were told as over without a good end");
         }
-        Event::LateGoodEnd { worker, attempt } => {
-            counter!("scheduler_late_good_ends_total").increment(1);
-            info!(worker = core.state().worker_name(*worker), %attempt, "a good end came after its attempt was over");
+        Event::LateEnd { worker, attempt, outcome } => {
+            counter!("scheduler_late_ends_total").increment(1);
+            info!(worker = core.state().worker_name(*worker), %attempt, ?outcome, "an end came after its attempt was over");
         }
         _ => {}
     }
