Acknowledge a report only once all of its facts and all reports before it are in the log

What callers can see: a task started again after a good end that its worker was told to forget (TWICE).

Cause: when the log refused a batch (too large, too much uncommitted, a handover under way), its facts were dropped and its reports taken off the session's list, but the session went on; the next acknowledgement is cumulative and covered them. A report spread over several batches was acknowledged by an estimate of its last one. One command that was too large took down all others of its batch. A refused word that a gateway is lost was dropped for good as well.

Ruled out: closing the channel on each refusal (a refusal under load would make all gateways tell all again at once).

Change: each fact knows its report; a report is acknowledged when all its facts are applied and all before it are. What the log refuses for now goes back to the head of the inbox, in order, but for callers (told to come back) and placement's starts (worked out anew). A batch that is too large is halved until only the command that is too large by itself is left out: its caller gets the typed error, or the channel of the gateway that told it is closed, so that no acknowledgement follows the gap. A report without facts is acknowledged at once.

--- a/crates/scheduler-core/src/batch_in_log.rs
+++ b/crates/scheduler-core/src/batch_in_log.rs
@@ -3,8 +3,8 @@
 /// A batch in the log that isn't applied yet.
 #[derive(Clone, Debug, Default)]
 pub struct BatchInLog {
-    /// Who waits for the answers of its commands, in their order.
-    pub waiters: Vec<Waiter>,
+    /// Where its commands come from, in their order.
+    pub origins: Vec<CommandOrigin>,
     /// Whether it holds starts.
     pub starts: bool,
 }
--- a/crates/scheduler-core/src/gateway_session.rs
+++ b/crates/scheduler-core/src/gateway_session.rs
@@ -3,10 +3,10 @@
 /// A report of facts that isn't in the log yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OpenReport {
-    /// The batch with the last of its facts.
-    pub batch: u64,
     /// Its number.
     pub report: u64,
+    /// How many of its facts aren't applied.
+    pub open: usize,
     /// When it came.
     pub since: Millis,
 }
@@ -36,6 +36,24 @@
     pub reported: u64,
 }
 
+impl GatewaySession {
+    /// One more fact of a report is applied.
+    pub fn fact_applied(&mut self, report: u64) {
+        if let Some(open) = self.reports.iter_mut().find(|open| open.report == report) {
+            open.open = open.open.saturating_sub(1);
+        }
+    }
+
+    /// The newest report that is in the log with all before it, if there is one that nobody was told of.
+    pub fn take_done(&mut self) -> Option<u64> {
+        let mut done = None;
+        while let Some(first) = self.reports.pop_front_if(|first| first.open == 0) {
+            done = Some(first.report);
+        }
+        done
+    }
+}
+
 /// What of the news a gateway is to get now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Flush {
--- a/crates/scheduler-core/src/prelude.rs
+++ b/crates/scheduler-core/src/prelude.rs
@@ -64,12 +64,11 @@
 pub(crate) use crate::planning::{SLOW_RATIO, is_sound};
 pub(crate) use crate::queries::patch_of;
 pub use crate::queue_gauges::QueueGauges;
-pub use crate::queued_command::QueuedCommand;
+pub use crate::queued_command::{CommandOrigin, QueuedCommand, RefusedBatch, ReportPart};
 pub use crate::ready_index::{QueuedGroups, ReadyGroup, ReadyIndex, ReadyQueue, ReadyStep};
 pub use crate::scheduler::{Scheduler, SchedulerCounters, Waiter};
 pub use crate::scheduler_input::{ChannelId, OWN_PROCESS, SchedulerEffect, SchedulerInput};
 pub use crate::scheduler_members::PeerMember;
-pub(crate) use crate::scheduler_rounds::BATCH_COMMANDS;
 pub use crate::scheduler_settings::SchedulerSettings;
 pub use crate::steady_clock::SteadyClock;
 pub use crate::tables::Tables;
--- a/crates/scheduler-core/src/queue_gauges.rs
+++ b/crates/scheduler-core/src/queue_gauges.rs
@@ -50,7 +50,7 @@
         let reports = self.sessions.values().map(|session| &session.reports);
         QueueGauges {
             inbox: self.inbox.len() as u64,
-            inbox_age_ms: age(self.inbox.front().map(|queued| queued.since)),
+            inbox_age_ms: age(self.inbox.front().map(|queued| queued.origin.since)),
             flights: self.flights.len() as u64,
             reports: reports.clone().map(VecDeque::len).sum::<usize>() as u64,
             reports_age_ms: age(reports.filter_map(|open| open.front()).map(|open| open.since).min()),
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -18,6 +18,8 @@
     pub(crate) inbox: VecDeque<QueuedCommand>,
     pub(crate) flights: BTreeMap<u64, BatchInLog>,
     pub(crate) batch: u64,
+    /// Why the log refused the batch that is being proposed.
+    pub(crate) refused: Option<ProposeError>,
     /// Since when each live gateway of the log was heard by this leader.
     pub(crate) heard: BTreeMap<Name, (u64, Millis)>,
     /// The term this one leads, and whether its first entry is applied.
@@ -75,8 +77,8 @@
     pub overtaken_views: u64,
     /// Batches that the log did not take.
     pub batches_shed: u64,
-    /// Gateways' reports that stood last in such a batch.
-    pub reports_shed: u64,
+    /// Facts of gateways' reports that stood in such a batch: they are put in the log later.
+    pub facts_shed: u64,
     /// Commands without a caller that were dropped.
     pub commands_dropped: u64,
     /// Peers' frames that could not be read.
@@ -109,6 +111,7 @@
             inbox: VecDeque::new(),
             flights: BTreeMap::new(),
             batch: 0,
+            refused: None,
             heard: BTreeMap::new(),
             leading: None,
             launched_at: 0,
@@ -191,7 +194,11 @@
                     }
                 }
                 Effect::Proposed { .. } | Effect::TransferStarted { .. } => {}
-                Effect::Shed { token, error } => self.shed(token, &error),
+                Effect::Shed { token, error } => {
+                    if self.flights.contains_key(&token) {
+                        self.refused = Some(error);
+                    }
+                }
                 Effect::BecameLeader { term } => {
                     self.leading = Some((term, false));
                     self.led_since = now;
@@ -259,22 +266,25 @@
         if !mine {
             return;
         }
-        if let Some(f) = self.flights.remove(&number) {
-            for (w, a) in f.waiters.into_iter().zip(answers) {
-                if let (Some(w), Some(a)) = (w, a) {
-                    self.answer(w, a);
-                }
+        let Some(batch) = self.flights.remove(&number) else { return };
+        for (origin, answer) in batch.origins.iter().zip(answers) {
+            if let (Some(waiter), Some(answer)) = (origin.waiter, answer) {
+                self.answer(waiter, answer);
             }
         }
-        for (c, s) in &mut self.sessions {
-            let mut done = None;
-            while let Some(open) = s.reports.pop_front_if(|open| open.batch <= number) {
-                done = Some(open.report);
-            }
-            if let Some(report) = done {
-                self.effects.push(SchedulerEffect::Gateway(*c, Arc::new(SchedulerFrame::FactsDone { report })));
+        self.facts_applied(&batch);
+    }
+
+    /// Facts of gateways' reports are applied.
+    fn facts_applied(&mut self, batch: &BatchInLog) {
+        let mut channels = BTreeSet::new();
+        for part in batch.origins.iter().filter_map(|origin| origin.report) {
+            if let Some(session) = self.sessions.get_mut(&part.channel) {
+                session.fact_applied(part.report);
+                channels.insert(part.channel);
             }
         }
+        channels.into_iter().for_each(|channel| self.acknowledge_reports(channel));
     }
 
     pub(crate) fn answer(&mut self, w: (ChannelId, u64), result: CallResult<AnswerBody>) {
@@ -303,11 +313,11 @@
         let hint = self.settings.log.election_timeout_ms;
         let own = |w: &Waiter| w.filter(|w| w.0 == OWN_PROCESS);
         let flights = std::mem::take(&mut self.flights);
-        for w in flights.values().flat_map(|f| &f.waiters).filter_map(own) {
+        for w in flights.values().flat_map(|f| &f.origins).filter_map(|origin| own(&origin.waiter)) {
             self.answer(w, Err(CallError::TimeBudgetSpent { retry_after_ms: hint }));
         }
         let inbox = std::mem::take(&mut self.inbox);
-        for w in inbox.iter().filter_map(|queued| own(&queued.waiter)) {
+        for w in inbox.iter().filter_map(|queued| own(&queued.origin.waiter)) {
             self.answer(w, Err(CallError::NoLeader { retry_after_ms: hint }));
         }
     }
--- a/crates/scheduler-core/src/scheduler_rounds.rs
+++ b/crates/scheduler-core/src/scheduler_rounds.rs
@@ -9,7 +9,7 @@
 /// Entries in one hold interval when they come singly.
 const LAUNCHES_A_HOLD: u64 = 40;
 /// Commands in one batch at most.
-pub(crate) const BATCH_COMMANDS: usize = 256;
+const BATCH_COMMANDS: usize = 256;
 /// Starts planned in one round at most.
 const ROUND_STARTS: usize = 256;
 /// Looks of all rounds of placement in one hold interval at most: the leader has other things to do.
@@ -18,27 +18,46 @@
 const IDLE_ROUNDS_A_HOLD: u64 = 4;
 
 impl Scheduler {
-    /// A batch did not get into the log: whoever waits may come back.
-    pub(crate) fn shed(&mut self, token: u64, error: &ProposeError) {
+    /// A batch did not get into the log. Whoever waits may come back; what nobody would ask for again goes back to the head of the inbox,
+    /// in its order.
+    fn batch_refused(&mut self, RefusedBatch { queued, error }: RefusedBatch) {
         let hint = self.settings.log.election_timeout_ms;
-        let Some(f) = self.flights.remove(&token) else { return };
         let error = match error {
             ProposeError::Overloaded { .. } => CallError::Shed { limit: "log".to_owned(), retry_after_ms: hint },
-            ProposeError::TooLarge { bytes, limit } => {
-                CallError::TooLarge { what: "command".to_owned(), size: *bytes as u64, limit: *limit as u64 }
-            }
             _ => CallError::NoLeader { retry_after_ms: hint },
         };
         self.counters.batches_shed += 1;
-        self.counters.commands_dropped += f.waiters.iter().filter(|waiter| waiter.is_none()).count() as u64;
-        for w in f.waiters.into_iter().flatten() {
-            self.answer(w, Err(error.clone()));
+        self.counters.facts_shed += queued.iter().filter(|queued| queued.origin.report.is_some()).count() as u64;
+        let (kept, given_up): (Vec<QueuedCommand>, Vec<QueuedCommand>) = queued.into_iter().partition(QueuedCommand::is_kept);
+        for queued in given_up {
+            match queued.origin.waiter {
+                Some(waiter) => self.answer(waiter, Err(error.clone())),
+                None => self.counters.commands_dropped += 1,
+            }
+        }
+        self.put_back(kept);
+    }
+
+    /// Puts commands back at the head of the inbox.
+    fn put_back(&mut self, queued: Vec<QueuedCommand>) {
+        for command in queued.into_iter().rev() {
+            self.inbox.push_front(command);
         }
-        for s in self.sessions.values_mut() {
-            // The gateway tells its facts again when it attaches again.
-            let before = s.reports.len();
-            s.reports.retain(|open| open.batch != token);
-            self.counters.reports_shed += (before - s.reports.len()) as u64;
+    }
+
+    /// A command can never get into the log.
+    fn command_too_large(&mut self, queued: QueuedCommand, bytes: usize, limit: usize) {
+        self.counters.batches_shed += 1;
+        match (queued.origin.waiter, queued.origin.report) {
+            (Some(waiter), _) => {
+                let error = CallError::TooLarge { what: "command".to_owned(), size: bytes as u64, limit: limit as u64 };
+                self.answer(waiter, Err(error));
+            }
+            (None, Some(part)) => {
+                self.counters.facts_shed += 1;
+                self.give_session_up(part.channel);
+            }
+            (None, None) => self.counters.commands_dropped += 1,
         }
     }
 
@@ -54,7 +73,7 @@
             }
             return;
         }
-        self.inbox.push_back(QueuedCommand { command, waiter, until, since: now });
+        self.inbox.push_back(QueuedCommand { command, origin: CommandOrigin { waiter, report: None, until, since: now } });
     }
 
     /// What follows from a changed state, after each input.
@@ -68,7 +87,9 @@
         // syncs.
         let due = now >= self.launched_at + self.settings.hold_interval_ms / LAUNCHES_A_HOLD;
         while !self.inbox.is_empty() && self.flights.len() < FLIGHTS && (due || self.inbox.len() >= BATCH_COMMANDS) {
-            self.launch(now);
+            if !self.launch(now) {
+                break;
+            }
         }
         self.flush(now);
     }
@@ -104,27 +125,57 @@
         }
     }
 
-    /// Proposes the next batch: all starts of a round stay in order behind what came before.
-    pub(crate) fn launch(&mut self, now: Millis) {
-        self.batch += 1;
+    /// Proposes the next batch: all starts of a round stay in order behind what came before. False when the log takes nothing now.
+    pub(crate) fn launch(&mut self, now: Millis) -> bool {
         self.launched_at = now;
-        let n = self.inbox.len().min(BATCH_COMMANDS);
-        let mut flight = BatchInLog::default();
-        let mut commands = Vec::with_capacity(n);
-        let first: Vec<_> = self.inbox.drain(..n).collect();
-        for QueuedCommand { command, waiter, until, .. } in first {
-            if let Some(w) = waiter.filter(|_| now >= until) {
-                // Its caller has gone: nothing of it is in the log.
-                self.answer(w, Err(CallError::TimeBudgetSpent { retry_after_ms: self.settings.hold_interval_ms }));
-                continue;
+        let mut most = BATCH_COMMANDS;
+        loop {
+            let queued = self.next_commands(now, most);
+            if queued.is_empty() {
+                return true;
+            }
+            let Err(refused) = self.propose_batch(now, queued) else { return true };
+            match refused {
+                // Half as many at a time, until only what is too large by itself is left out.
+                RefusedBatch { queued, error: ProposeError::TooLarge { .. } } if queued.len() > 1 => {
+                    most = queued.len() / 2;
+                    self.put_back(queued);
+                }
+                RefusedBatch { queued, error: ProposeError::TooLarge { bytes, limit } } => {
+                    queued.into_iter().for_each(|alone| self.command_too_large(alone, bytes, limit));
+                    return true;
+                }
+                refused => {
+                    self.batch_refused(refused);
+                    return false;
+                }
             }
-            flight.starts |= matches!(command, Command::Start { .. });
-            commands.push(command);
-            flight.waiters.push(waiter);
         }
-        let batch = CommandBatch { proposer: self.replica.id(), number: self.batch, commands };
-        self.flights.insert(self.batch, flight);
-        let (token, command) = (self.batch, batch.to_bytes());
-        self.drive(now, Input::Propose { token, command });
+    }
+
+    /// Takes so many commands at most from the inbox; those whose caller has gone are answered, and nothing of them is in the log.
+    fn next_commands(&mut self, now: Millis, most: usize) -> Vec<QueuedCommand> {
+        let first: Vec<QueuedCommand> = self.inbox.drain(..self.inbox.len().min(most)).collect();
+        let (spent, due): (Vec<QueuedCommand>, Vec<QueuedCommand>) = first.into_iter().partition(|queued| queued.is_spent(now));
+        for waiter in spent.into_iter().filter_map(|queued| queued.origin.waiter) {
+            self.answer(waiter, Err(CallError::TimeBudgetSpent { retry_after_ms: self.settings.hold_interval_ms }));
+        }
+        due
+    }
+
+    /// Proposes a batch; gives it back when the log refuses it.
+    fn propose_batch(&mut self, now: Millis, queued: Vec<QueuedCommand>) -> Result<(), RefusedBatch> {
+        self.batch += 1;
+        let token = self.batch;
+        let (commands, origins): (Vec<Command>, Vec<CommandOrigin>) =
+            queued.into_iter().map(|queued| (queued.command, queued.origin)).unzip();
+        let batch = CommandBatch { proposer: self.replica.id(), number: token, commands };
+        let starts = batch.commands.iter().any(|command| matches!(command, Command::Start { .. }));
+        self.flights.insert(token, BatchInLog { origins, starts });
+        self.drive(now, Input::Propose { token, command: batch.to_bytes() });
+        let Some(error) = self.refused.take() else { return Ok(()) };
+        let origins = self.flights.remove(&token).unwrap_or_default().origins;
+        let queued = batch.commands.into_iter().zip(origins).map(|(command, origin)| QueuedCommand { command, origin }).collect();
+        Err(RefusedBatch { queued, error })
     }
 }
--- a/crates/scheduler-core/src/scheduler_sessions.rs
+++ b/crates/scheduler-core/src/scheduler_sessions.rs
@@ -112,12 +112,10 @@
                     return;
                 }
                 s.reported = report;
-                // It stands behind all that is in the inbox, so in the batch after those, at the latest in this many.
-                self.inbox.extend(facts.into_iter().map(|f| QueuedCommand::own(Command::Facts(f), now)));
-                let batches = self.inbox.len().div_ceil(BATCH_COMMANDS) as u64;
-                if let Some(s) = self.sessions.get_mut(&c) {
-                    s.reports.push_back(OpenReport { batch: self.batch + batches.max(1), report, since: now });
-                }
+                s.reports.push_back(OpenReport { report, open: facts.len(), since: now });
+                let part = ReportPart { channel: c, report };
+                self.inbox.extend(facts.into_iter().map(|f| QueuedCommand::fact(f, part, now)));
+                self.acknowledge_reports(c);
             }
             GatewayFrame::WantConfiguration => {
                 s.configuration = 0;
@@ -126,6 +124,22 @@
         }
     }
 
+    /// Tells a gateway which of its reports are in the log.
+    pub(crate) fn acknowledge_reports(&mut self, channel: ChannelId) {
+        if let Some(report) = self.sessions.get_mut(&channel).and_then(GatewaySession::take_done) {
+            self.send_gateway(channel, SchedulerFrame::FactsDone { report });
+        }
+    }
+
+    /// A fact can't get into the log. Acknowledgements are cumulative, so none may follow on its channel: the gateway attaches again, and
+    /// tells all that isn't acknowledged.
+    pub(crate) fn give_session_up(&mut self, channel: ChannelId) {
+        if self.sessions.remove(&channel).is_some() {
+            let frame = self.not_leader();
+            self.send_gateway(channel, frame);
+        }
+    }
+
     /// A frame that came while this scheduler leads but has no lease, or hasn't applied what was committed before. Both are over in a
     /// moment as a rule; a gateway that was sent away would ask for all it knows anew. Until then it is told nothing, not even that this
     /// one is there.
--- a/crates/scheduler-core/tests/report_acknowledgement_test.rs
+++ b/crates/scheduler-core/tests/report_acknowledgement_test.rs
@@ -143,7 +143,9 @@
 
 #[test]
 fn a_report_that_the_log_had_no_room_for_is_not_covered_by_a_later_acknowledgement() {
-    let mut leader = Leader::new(|settings| settings.log.max_uncommitted_bytes = MOST_UNCOMMITTED_BYTES);
+    let mut leader = Leader::new(|settings| {
+        (settings.log.max_command_bytes, settings.log.max_uncommitted_bytes) = (MOST_UNCOMMITTED_BYTES, MOST_UNCOMMITTED_BYTES);
+    });
     leader.sync_ms = SYNC_MS;
     for report in 0..4 {
         leader.report(report + 1, report as usize * FACTS_A_REPORT, FACTS_A_REPORT);
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -296,7 +296,7 @@
     overtaken_views: u64,
     commands_dropped: u64,
     batches_shed: u64,
-    reports_shed: u64,
+    facts_shed: u64,
 }
 
 impl LossNews {
@@ -307,14 +307,14 @@
             overtaken_views: counters.overtaken_views,
             commands_dropped: counters.commands_dropped,
             batches_shed: counters.batches_shed,
-            reports_shed: counters.reports_shed,
+            facts_shed: counters.facts_shed,
         };
         if now != *self {
             warn!(
                 overtaken_views = now.overtaken_views,
                 commands_dropped = now.commands_dropped,
                 batches_shed = now.batches_shed,
-                reports_shed = now.reports_shed,
+                facts_shed = now.facts_shed,
                 "views sent anew, commands dropped, batches that the log refused"
             );
             *self = now;
