Acknowledge to a worker only ends that were told on the channel of the acknowledgement

Cause: a report that is told again to the next leader leaves out what no longer counts, as far as the gateway knows then (the worker isn't known, or its boot isn't), but the report was kept whole, so its acknowledgement covered what had been left out. A worker that is known again by then lists the same end, and was told to forget it.

Change: what is left out when a report is told again is forgotten with it.

Evidence: an_end_that_was_left_out_when_a_report_was_told_again_is_not_acknowledged failed on (the next hold acknowledges the end) and passes. Looked through for the same class: the numbers of ends that a worker may forget (a list always begins with the lowest one that isn't forgotten; lists of another life or under another assignment start over), tickets of the disk, acknowledgements between schedulers, views.

--- a/crates/gateway-core/src/fact_book.rs
+++ b/crates/gateway-core/src/fact_book.rs
@@ -93,10 +93,15 @@
         Some(GatewayFrame::Facts { report: self.reports, facts })
     }
 
-    /// All reports that are not done, for a new channel; only what still counts of them.
-    pub fn again(&self, share: &WorkerShare) -> Vec<GatewayFrame> {
-        let again = |facts: &[WorkerFacts]| facts.iter().filter_map(|f| worth(f, share)).collect();
-        self.told.iter().map(|(&report, told)| GatewayFrame::Facts { report, facts: again(&told.facts) }).collect()
+    /// All reports that are not done, for a new channel; only what still counts of them. The rest is forgotten: once the report is done,
+    /// only what was told on this channel is sure to be in the log.
+    pub fn again(&mut self, share: &WorkerShare) -> Vec<GatewayFrame> {
+        let mut frames = Vec::new();
+        for (&report, told) in &mut self.told {
+            told.facts = told.facts.iter().filter_map(|f| worth(f, share)).collect();
+            frames.push(GatewayFrame::Facts { report, facts: told.facts.clone() });
+        }
+        frames
     }
 
     /// All reports up to this one are in the log: their facts.
