Play gangs that end together, and logs that refuse batches, in the simulator

Stand-in workers tell of members that come and leave; a table brings gangs together: they work while all are there, end at one moment, break when one leaves, and end `alone` when the others don't come. The oracle takes one noted good end for its whole gang's, and a run's failure for one. GangTorn: as a gang ends well, one of its workers dies before it can tell, and the other members' gateways are cut off from the schedulers for a moment. full_log: entries and uncommitted bytes of 4 KB on disks of 120 ms.

--- a/crates/caller-stand-in/src/caller_model.rs
+++ b/crates/caller-stand-in/src/caller_model.rs
@@ -139,6 +139,7 @@
         let mut spec = s.job(name.clone(), &self.settings, now, &mut self.rng);
         for s in &mut spec.steps {
             s.tasks = s.tasks.saturating_mul(times_tasks).min(if s.gang { LARGEST_GANG } else { LARGEST_STEP });
+            state_members(s);
         }
         self.jobs.insert(name.clone(), CallerJob::new(spec.clone()));
         let gateway = self.other_gateway(None);
--- a/crates/caller-stand-in/src/caller_settings.rs
+++ b/crates/caller-stand-in/src/caller_settings.rs
@@ -25,6 +25,10 @@
     pub allowed_failures: u32,
     /// Share of jobs that take their queue's whole urgency; the others say half of it.
     pub urgent_share: f64,
+    /// Share of gangs whose members end together.
+    pub together_share: f64,
+    /// Share of staged steps that are gangs; `None`: as the profile has it.
+    pub gang_share: Option<f64>,
     /// Share of jobs that are not to start before a time.
     pub timed_share: f64,
     /// Share of jobs that can never be done.
@@ -60,6 +64,8 @@
             retries: 6,
             allowed_failures: 3,
             urgent_share: 0.9,
+            together_share: 0.0,
+            gang_share: None,
             timed_share: 0.05,
             impossible_share: 0.002,
             cancel_share: 0.03,
--- a/crates/caller-stand-in/src/job_stream.rs
+++ b/crates/caller-stand-in/src/job_stream.rs
@@ -49,19 +49,25 @@
         let fails = rng.random_bool(settings.failing_share);
         let steps: Vec<StepSpec> = (0..steps)
             .map(|i| {
-                let gang = rng.random_bool(self.gang_share);
+                let gang_share = settings.gang_share.filter(|_| self.gang_share > 0.0).unwrap_or(self.gang_share);
+                let gang = rng.random_bool(gang_share);
                 let run_ms = scaled(within(rng, self.run_ms));
                 let outcome = if fails && i + 1 == steps { "failed" } else { "succeeded" };
-                StepSpec {
+                let tasks = self.task_count(rng);
+                let ends_together = gang && settings.together_share > 0.0 && rng.random_bool(settings.together_share);
+                let mut step = StepSpec {
                     name: format!("step-{i}"),
                     after: if i == 0 { Vec::new() } else { vec![format!("step-{}", i - 1)] },
-                    tasks: self.task_count(rng),
+                    tasks,
                     gang,
+                    ends_together,
                     cpu_millis: within(rng, self.cpu_millis),
                     memory_mb: within(rng, self.memory_mb),
                     payload: Payload(json!({"run_ms": run_ms, "outcome": outcome})),
                     ..StepSpec::default()
-                }
+                };
+                state_members(&mut step);
+                step
             })
             .collect();
         let queue = if self.queues == 0 {
@@ -114,6 +120,13 @@
     }
 }
 
+/// States in the payload of a gang that ends together how many members it has.
+pub(crate) fn state_members(step: &mut StepSpec) {
+    if step.is_gang_that_ends_together() {
+        step.payload.0["members"] = step.tasks.into();
+    }
+}
+
 /// How much later timed jobs start, before the time scale.
 const TIMED_LATER_MS: Span = (1_000, 8_000);
 /// More memory than any worker has.
--- a/crates/caller-stand-in/src/prelude.rs
+++ b/crates/caller-stand-in/src/prelude.rs
@@ -31,7 +31,7 @@
 pub use crate::courier::{Courier, Ending, Sending};
 pub use crate::deployment_tree::{Regions, deployment_tree};
 pub use crate::job_stream::{JobStream, Span};
-pub(crate) use crate::job_stream::{LARGEST_GANG, within};
+pub(crate) use crate::job_stream::{LARGEST_GANG, state_members, within};
 pub use crate::model::Model;
 pub use crate::observation_log::ObservationLog;
 pub use crate::observing::{observe_answer, observe_sent};
--- a/crates/capacity-slopes/src/fleet_driver.rs
+++ b/crates/capacity-slopes/src/fleet_driver.rs
@@ -252,6 +252,8 @@
             match e {
                 WorkerEffect::Answer { token, answer } => self.set(self.now + WAY_MS, DriverEvent::OrderOver { call: token, answer }),
                 WorkerEffect::Register(r) => self.ask(i % self.size.gateways, r.into_body(), Some(i)),
+                // Its gangs' members are each by themselves.
+                WorkerEffect::MemberCame(_) | WorkerEffect::MemberLeft(_) => {}
                 WorkerEffect::Silence { .. } | WorkerEffect::Refuse { .. } | WorkerEffect::OtherLife { .. } | WorkerEffect::Observe(_) => {}
             }
         }
--- a/crates/fleet-oracle/src/job_record.rs
+++ b/crates/fleet-oracle/src/job_record.rs
@@ -75,6 +75,25 @@
         self.spec.as_deref().filter(|_| !self.ambiguous)
     }
 
+    /// Whether a step is a gang whose members end together: one good end stands for all, and a run fails as a whole.
+    pub(crate) fn ends_together(&self, step: u16) -> bool {
+        self.sure_spec().and_then(|spec| spec.steps.get(usize::from(step))).is_some_and(StepSpec::is_gang_that_ends_together)
+    }
+
+    /// Whether a task of a step has ended well, and its outcome was not lost with its worker.
+    pub(crate) fn succeeded_in(&self, step: u16) -> bool {
+        self.tasks.iter().any(|((of, _), task)| *of == step && task.succeeded > 0)
+    }
+
+    /// Failures of a task, or of the gang that it is a member of: those whose outcome was not lost, and all.
+    pub(crate) fn failures(&self, step: u16, index: u32) -> (u32, u32) {
+        if !self.ends_together(step) {
+            return self.tasks.get(&(step, index)).map_or((0, 0), |task| (task.failed, task.failed_ever));
+        }
+        let members = self.tasks.iter().filter(|((of, _), _)| *of == step);
+        members.fold((0, 0), |sum, (_, member)| (sum.0 + member.failed, sum.1 + member.failed_ever))
+    }
+
     /// It may be final since now.
     pub(crate) fn may_be_final(&mut self, at: Millis) {
         self.final_since.get_or_insert(at);
--- a/crates/fleet-oracle/src/oracle_runs.rs
+++ b/crates/fleet-oracle/src/oracle_runs.rs
@@ -45,7 +45,10 @@
         if t.succeeded > 0 {
             self.tally.add(Rule::TaskStartedAfterSuccess, at, || format!("{}: it had succeeded", about()));
         }
-        let failed = t.failed;
+        if j.ends_together(step) && j.succeeded_in(step) {
+            self.tally.add(Rule::TaskStartedAfterSuccess, at, || format!("{}: its gang had ended well", about()));
+        }
+        let failed = j.failures(step, index).0;
         if let Some(spec) = j.sure_spec() {
             if failed > spec.allowed_failures.unwrap_or(0) {
                 let allowed = spec.allowed_failures;
@@ -131,13 +134,13 @@
             }
             Some(Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone) | None => {}
         }
-        let failed_ever = t.failed_ever;
         self.book.counts.unneeded += u64::from(outcome != Some(Outcome::Succeeded));
         self.book.counts.runs_lost += u64::from(outcome.is_none());
         j.count_open(step, false);
         if newly_done {
             j.task_done(step, at);
         }
+        let failed_ever = j.failures(step, index).1;
         if j.sure_spec().is_some_and(|s| failed_ever > s.allowed_failures.unwrap_or(0)) {
             j.failed = true;
             j.may_be_final(at);
--- a/crates/fleet-simulator/src/fault.rs
+++ b/crates/fleet-simulator/src/fault.rs
@@ -35,6 +35,9 @@
     WorkerErrs { worker: usize, behaviour: Behaviour, for_ms: Millis },
     /// A worker's process dies and comes back with a new boot.
     WorkerDies { worker: usize, away_ms: Millis },
+    /// As the next gang ends well whose members' workers are held by several gateways, one of these workers dies before it can tell, and
+    /// the other gateways are cut off from the schedulers for a while.
+    GangTorn { away_ms: Millis, for_ms: Millis },
     /// A machine's wall clock jumps.
     ClockJump { scheduler: usize, by_ms: i64 },
     /// Messages get lost, late and doubled.
--- a/crates/fleet-simulator/src/main.rs
+++ b/crates/fleet-simulator/src/main.rs
@@ -9,6 +9,7 @@
     faults: usize,
     threads: u64,
     leased: bool,
+    gangs: bool,
     verbose: bool,
     timing: bool,
 }
@@ -20,6 +21,7 @@
     o.optopt("", "faults", "faults in each run (8); 0 for none", "N");
     o.optopt("", "threads", "threads (1)", "N");
     o.optflag("", "leased", "workers take leases; orders come late, and gateways stand still or are cut off");
+    o.optflag("", "gangs", "gangs that end together, torn as they end; takes no faults");
     o.optflag("", "scenarios", "list the named scenarios");
     o.optopt("", "scenario", "run a named scenario instead, or `all`: prints the worst figures over the seeds", "NAME");
     o.optflag("", "timing", "print each seed's events and wall time as it ends");
@@ -56,6 +58,7 @@
         faults: number("faults", 8) as usize,
         threads: number("threads", 1).max(1),
         leased: m.opt_present("leased"),
+        gangs: m.opt_present("gangs"),
         verbose: m.opt_present("verbose"),
         timing: m.opt_present("timing"),
     };
@@ -114,12 +117,17 @@
 /// Seeds with faults drawn from them: how many broke a rule.
 fn chaos(asked: &Asked) -> usize {
     let settings = |seed| match asked.faults {
+        _ if asked.gangs => SimulationSettings::gangs_that_end_together(seed),
         n if asked.leased => SimulationSettings::leased_chaos(seed, n),
         0 => SimulationSettings::new(seed),
         n => SimulationSettings::chaos(seed, n),
     };
-    let leased = if asked.leased { " --leased" } else { "" };
-    let again = |o: &SimulationOutcome| (!o.is_clean()).then(|| format!("{} --faults {}{leased}", o.describe(), asked.faults));
+    let kind = match asked {
+        Asked { gangs: true, .. } => " --gangs",
+        Asked { leased: true, .. } => " --leased",
+        _ => "",
+    };
+    let again = |o: &SimulationOutcome| (!o.is_clean()).then(|| format!("{} --faults {}{kind}", o.describe(), asked.faults));
     let all = run_all(asked, settings, again);
     let broken = all.iter().filter(|o| !o.is_clean()).count();
     let left = all.iter().filter(|o| o.attempts_left > 0).count();
--- a/crates/fleet-simulator/src/occurrence.rs
+++ b/crates/fleet-simulator/src/occurrence.rs
@@ -46,6 +46,8 @@
     ModelTick,
     /// A worker's tick.
     WorkerTick(usize),
+    /// A gang that ends together may be over.
+    GangDue(GangRun),
     /// A scheduler's frame reaches another.
     Peer { to: usize, bytes: Vec<u8> },
     /// A dial is over: the channel is up if the scheduler is there.
--- a/crates/fleet-simulator/src/simulation.rs
+++ b/crates/fleet-simulator/src/simulation.rs
@@ -26,6 +26,10 @@
     pub(crate) reached: BTreeSet<(usize, AttemptId)>,
     /// The gateway and the fence of the last start that reached each life of a worker with a lease.
     pub(crate) last_starts: BTreeMap<Name, (usize, u64)>,
+    /// Gangs that end together.
+    pub(crate) gangs: GangTable,
+    /// What befalls the next gang that ends well.
+    pub(crate) gang_to_tear: Option<GangTear>,
     /// Prints faults as they begin.
     pub verbose: bool,
     events: u64,
@@ -65,6 +69,8 @@
             calm: false,
             reached: BTreeSet::new(),
             last_starts: BTreeMap::new(),
+            gangs: GangTable::default(),
+            gang_to_tear: None,
             verbose: false,
             events: 0,
             rng,
@@ -149,6 +155,7 @@
                 }
             }
             Occurrence::WorkerTick(i) => self.worker(i, WorkerInput::Tick),
+            Occurrence::GangDue(run) => self.gang_due(run),
             Occurrence::Peer { to, bytes } => self.peer_arrives(to, bytes),
             Occurrence::Dialled { gateway, epoch, address } => self.dialled(gateway, epoch, address),
             Occurrence::Frame { channel, direction } => self.frame_arrives(arrived_at, channel, direction),
--- a/crates/fleet-simulator/src/simulation_faults.rs
+++ b/crates/fleet-simulator/src/simulation_faults.rs
@@ -2,7 +2,7 @@
 
 impl Simulation {
     /// The elected scheduler, or the first that runs.
-    fn leader(&self) -> usize {
+    pub(crate) fn leader(&self) -> usize {
         let serves = |n: &SchedulerNode| n.core.as_ref().is_some_and(|c| c.is_serving(n.machine.now(self.now)));
         self.schedulers.iter().position(serves).or_else(|| self.schedulers.iter().position(|n| n.core.is_some())).unwrap_or(0)
     }
@@ -99,6 +99,7 @@
                 self.model(true, CallerInput::Burst { stream, jobs, times_tasks });
             }
             Fault::WorkerErrs { worker, behaviour, .. } => self.worker(worker, WorkerInput::Behave(behaviour)),
+            Fault::GangTorn { away_ms, for_ms } => self.gang_to_tear = Some(GangTear { away_ms, for_ms }),
             Fault::WorkerDies { worker, away_ms } => self.worker_dies(worker, away_ms),
             Fault::ClockJump { scheduler, by_ms } => self.schedulers[scheduler].machine.wall_off_ms += by_ms,
             Fault::BadNetwork { loss_ratio, late_ms, .. } => {
--- a/crates/fleet-simulator/src/simulation_schedulers.rs
+++ b/crates/fleet-simulator/src/simulation_schedulers.rs
@@ -85,6 +85,9 @@
         s.log.snapshot_after_bytes = 48 << 10;
         s.log.kept_tail_bytes = 8 << 10;
         s.log.snapshot_chunk_bytes = 8 << 10;
+        if let Some(bytes) = self.settings.log_bytes {
+            (s.log.max_command_bytes, s.log.max_uncommitted_bytes) = (bytes, bytes);
+        }
         let (id, seed) = (self.rng.random::<u64>() >> 11, self.rng.random());
         let now = self.now;
         let n = &mut self.schedulers[i];
--- a/crates/fleet-simulator/src/simulation_settings.rs
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -33,6 +33,8 @@
     pub most_events: u64,
     /// What steps of schedulers cost; none: they take no time.
     pub step_cost: Option<StepCost>,
+    /// Bytes of one entry of the log, and of all that aren't committed; none: as usual.
+    pub log_bytes: Option<usize>,
     /// Whether workers run work only while their lease lasts.
     pub leased: bool,
     /// How callers behave; their gateways and seed are set by the run.
@@ -69,6 +71,7 @@
             election_timeout_ms: 1_000,
             most_events: MOST_EVENTS,
             step_cost: None,
+            log_bytes: None,
             leased: false,
         }
     }
@@ -85,7 +88,53 @@
         s
     }
 
-    /// The same with workers that take leases, orders that are carried out late, and gateways that stand still or are cut off
+    /// Many gangs that end together, at workers that take leases: again and again a gateway is cut off from the schedulers for a moment,
+    /// so that what it has to tell piles up, while a worker dies or falls silent that another gateway holds.
+    pub fn gangs_that_end_together(seed: u64) -> Self {
+        let mut s = Self::new(seed);
+        s.leased = true;
+        (s.load_ms, s.settle_ms) = (40_000, 50_000);
+        s.outage_ms = s.load_ms;
+        (s.callers.together_share, s.callers.gang_share, s.callers.time_scale) = (1.0, Some(1.0), GANG_TIME_SCALE);
+        s.rate = 0.5;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x9a79);
+        for at in (4_000..s.load_ms - 4_000).step_by(GANG_TROUBLE_EVERY_MS as usize) {
+            let (gateway, worker) = (rng.random_range(0..s.gateways), rng.random_range(0..s.workers));
+            let cut = Fault::GatewayCutFromCore { gateway, one_way: rng.random_bool(0.3), for_ms: rng.random_range(600..2_400) };
+            s.faults.push((at, cut));
+            let after = at + rng.random_range(100..1_500);
+            s.faults.push((
+                after,
+                match rng.random_range(0..8) {
+                    0..4 => Fault::GangTorn { away_ms: rng.random_range(20..300), for_ms: rng.random_range(600..2_400) },
+                    4 => Fault::WorkerDies { worker, away_ms: rng.random_range(50..1_000) },
+                    5 => {
+                        let behaviour = Behaviour { cut_off: true, ..Behaviour::default() };
+                        Fault::WorkerErrs { worker, behaviour, for_ms: rng.random_range(6_000..14_000) }
+                    }
+                    6 => {
+                        let behaviour = Behaviour { fail_ratio: 0.5, ..Behaviour::default() };
+                        Fault::WorkerErrs { worker, behaviour, for_ms: rng.random_range(2_000..6_000) }
+                    }
+                    _ => Fault::LeaderCut { one_way: rng.random_bool(0.5), for_ms: rng.random_range(300..2_500) },
+                },
+            ));
+        }
+        s
+    }
+
+    /// The faults of [`Self::leased_chaos`] with a log that takes little at a time on slow disks, so that it refuses batches again and
+    /// again.
+    pub fn full_log(seed: u64, faults: usize) -> Self {
+        let mut s = Self::leased_chaos(seed, faults);
+        s.log_bytes = Some(FULL_LOG_BYTES);
+        s.faults
+            .extend((0..s.schedulers).map(|scheduler| (0, Fault::SlowDisk { scheduler, sync_ms: FULL_LOG_SYNC_MS, for_ms: s.load_ms })));
+        s.callers.time_scale = GANG_TIME_SCALE;
+        s
+    }
+
+    /// The faults of [`Self::chaos`] with workers that take leases, orders that are carried out late, and gateways that stand still or are cut off
     /// from all one after another.
     pub fn leased_chaos(seed: u64, faults: usize) -> Self {
         let mut s = Self::chaos(seed, faults);
@@ -107,6 +156,14 @@
     }
 }
 
+/// What a log takes that refuses batches again and again.
+const FULL_LOG_BYTES: usize = 4 << 10;
+/// How long its disks take for a sync.
+const FULL_LOG_SYNC_MS: Millis = 120;
+/// How long gangs that end together work, in times the profile's.
+const GANG_TIME_SCALE: f64 = 0.15;
+/// Between two losses of a gateway's way to the schedulers, with a worker that dies meanwhile.
+const GANG_TROUBLE_EVERY_MS: Millis = 2_500;
 /// When the first orders are carried out late.
 const LATE_ORDERS_FROM_MS: Millis = 4_000;
 /// Gateways that stand still or are cut off in a run with leases.
--- a/crates/fleet-simulator/src/simulation_workers.rs
+++ b/crates/fleet-simulator/src/simulation_workers.rs
@@ -45,6 +45,15 @@
             match e {
                 WorkerEffect::Observe(o) => self.oracle.observe(self.now, o),
                 WorkerEffect::Silence { .. } => {}
+                WorkerEffect::MemberCame(member) => {
+                    if let Some(at) = self.gangs.came(self.now, i, member) {
+                        self.agenda.set(at, Occurrence::GangDue(GangRun::of(member.attempt)));
+                    }
+                }
+                WorkerEffect::MemberLeft(attempt) => {
+                    let ends = self.gangs.left(attempt);
+                    self.members_end(ends);
+                }
                 WorkerEffect::Answer { token, answer } => self.worker_replies(i, token, WorkerReply::Answer(answer)),
                 WorkerEffect::Refuse { token } => self.worker_replies(i, token, WorkerReply::Unknown),
                 WorkerEffect::OtherLife { token } => self.worker_replies(i, token, WorkerReply::OtherLife),
--- a/crates/worker-stand-in/src/prelude.rs
+++ b/crates/worker-stand-in/src/prelude.rs
@@ -40,7 +40,7 @@
 pub use crate::task_payload::TaskPayload;
 pub use crate::true_clock::TrueClock;
 pub(crate) use crate::waiting_hold::WaitingHold;
-pub use crate::worker_effect::{WorkerAnswer, WorkerEffect};
+pub use crate::worker_effect::{GangMember, WorkerAnswer, WorkerEffect};
 pub use crate::worker_host::WorkerHost;
 pub use crate::worker_identity::WorkerIdentity;
 pub use crate::worker_input::{Token, WorkerInput};
--- a/crates/worker-stand-in/src/worker_effect.rs
+++ b/crates/worker-stand-in/src/worker_effect.rs
@@ -25,6 +25,23 @@
     OtherLife { token: Token },
     /// Send `POST /v1/workers` to a gateway, and tell whether it was answered.
     Register(RegisterWorker),
+    /// A member of a gang that ends together is there, and works once all members are.
+    MemberCame(GangMember),
+    /// A member of such a gang runs no more.
+    MemberLeft(AttemptId),
     /// Seen from outside.
     Observe(Observation),
 }
+
+/// A member of a gang that ends together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GangMember {
+    /// Its attempt; its number is that of the gang's run.
+    pub attempt: AttemptId,
+    /// How many members the gang has.
+    pub members: u32,
+    /// How long it works; `None`: until it is stopped.
+    pub run_ms: Option<Millis>,
+    /// How it would end by itself.
+    pub outcome: Outcome,
+}
--- a/crates/worker-stand-in/src/worker_host.rs
+++ b/crates/worker-stand-in/src/worker_host.rs
@@ -88,6 +88,8 @@
         for e in s.0.step(now, input) {
             match e {
                 WorkerEffect::Observe(o) => self.recorder.record(now, o),
+                // Members are on several processes' workers: only the simulator brings them together.
+                WorkerEffect::MemberCame(_) | WorkerEffect::MemberLeft(_) => {}
                 WorkerEffect::Answer { token, answer } => {
                     if let Some(tx) = s.1.remove(&token) {
                         // A caller that has left needs no answer.
--- a/crates/worker-stand-in/src/worker_input.rs
+++ b/crates/worker-stand-in/src/worker_input.rs
@@ -18,6 +18,8 @@
     Behave(Behaviour),
     /// Its process ends; a new one with this boot id begins after `away_ms`, and knows nothing.
     Die { boot_id: String, away_ms: Millis },
+    /// The gang of a member that runs here is over.
+    MemberEnds { attempt: AttemptId, outcome: Outcome },
     /// Time has passed.
     Tick,
 }
--- a/crates/worker-stand-in/src/worker_model.rs
+++ b/crates/worker-stand-in/src/worker_model.rs
@@ -120,6 +120,7 @@
             }
             WorkerInput::Die { boot_id, away_ms } => self.die(now, boot_id, away_ms),
             WorkerInput::Registered(ok) => self.registration.answered(now, ok, &mut self.rng),
+            WorkerInput::MemberEnds { attempt, outcome } => self.member_ends(now, attempt, outcome),
             WorkerInput::Tick => {}
             order => self.take_or_lose(now, order),
         }
@@ -215,6 +216,7 @@
             if r.runs() {
                 let (worker, boot) = (worker.clone(), boot.clone());
                 self.observe(Observation::RunLost { worker, boot, attempt: r.attempt, job_name: r.job_name });
+                self.member_left(r.attempt, r.payload);
             }
         }
         for e in std::mem::take(&mut self.ended).into_values() {
@@ -264,7 +266,11 @@
             WorkerInput::Start { token, order } => self.start(now, arrived, token, order),
             WorkerInput::Stop { token, order } => self.stop(now, token, order.attempt),
             WorkerInput::Hold { token, order } => self.hold(now, token, order),
-            WorkerInput::Registered(_) | WorkerInput::Behave(_) | WorkerInput::Die { .. } | WorkerInput::Tick => {}
+            WorkerInput::Registered(_)
+            | WorkerInput::Behave(_)
+            | WorkerInput::Die { .. }
+            | WorkerInput::MemberEnds { .. }
+            | WorkerInput::Tick => {}
         }
     }
 
@@ -280,6 +286,7 @@
             let ended = self.runs.iter().position(|r| r.runs() && due(r));
             if let Some(i) = ended {
                 let r = self.runs.remove(i);
+                self.member_left(r.attempt, r.payload);
                 if let Phase::Running { started, outcome, .. } = r.phase {
                     self.end(now, r.attempt, r.job_name, started, outcome);
                 }
@@ -310,17 +317,38 @@
             (false, true) => (None, Outcome::Succeeded),
             (false, false) => (Some(ms), r.payload.outcome),
         };
-        let begun = Phase::Running { started: now, end_at: run_ms.map(|ms| now + ms), outcome };
+        let member = r.payload.members > 0;
+        let end_at = run_ms.filter(|_| !member).map(|ms| now + ms);
+        let begun = Phase::Running { started: now, end_at, outcome };
         let token = match std::mem::replace(&mut r.phase, begun) {
             Phase::Ordered { token, .. } => token,
             Phase::Running { .. } => None,
         };
-        let (attempt, job_name) = (r.attempt, r.job_name.clone());
+        let (attempt, job_name, members) = (r.attempt, r.job_name.clone(), r.payload.members);
         let (cpu_millis, memory_mb, ordered_at) = (r.cpu_millis, r.memory_mb, r.ordered_at);
         self.change += 1;
         let (worker, boot) = (self.identity.name.clone(), self.identity.boot_id.clone());
         self.observe(Observation::RunStarted { worker, boot, attempt, job_name, cpu_millis, memory_mb, ordered_at });
         self.start_answer(now, token, attempt, StartResult::Started);
+        if member {
+            self.effects.push(WorkerEffect::MemberCame(GangMember { attempt, members, run_ms, outcome }));
+        }
+    }
+
+    /// The gang of a member is over: so is its run here.
+    fn member_ends(&mut self, now: Millis, attempt: AttemptId, outcome: Outcome) {
+        let Some(at) = self.runs.iter().position(|run| run.attempt == attempt && run.runs()) else { return };
+        let run = self.runs.remove(at);
+        if let Phase::Running { started, .. } = run.phase {
+            self.end(now, run.attempt, run.job_name, started, outcome);
+        }
+    }
+
+    /// A run is over: if it was a member's, its gang learns of it.
+    pub(crate) fn member_left(&mut self, attempt: AttemptId, payload: TaskPayload) {
+        if payload.members > 0 {
+            self.effects.push(WorkerEffect::MemberLeft(attempt));
+        }
     }
 
     pub(crate) fn end(&mut self, now: Millis, attempt: AttemptId, job_name: Name, started: Millis, outcome: Outcome) {
--- a/crates/worker-stand-in/src/worker_model_leased.rs
+++ b/crates/worker-stand-in/src/worker_model_leased.rs
@@ -125,6 +125,7 @@
 
     fn close(&mut self, now: Millis, i: usize, outcome: Outcome) {
         let r = self.runs.remove(i);
+        self.member_left(r.attempt, r.payload);
         if let Phase::Running { started, .. } = r.phase {
             self.end(now, r.attempt, r.job_name, started, outcome);
         }
--- a/crates/worker-stand-in/src/worker_model_orders.rs
+++ b/crates/worker-stand-in/src/worker_model_orders.rs
@@ -61,7 +61,10 @@
         for r in hit {
             match r.phase {
                 Phase::Ordered { token, .. } => self.start_answer(now, token, attempt, StartResult::Void),
-                Phase::Running { started, .. } => self.end(now, r.attempt, r.job_name, started, Outcome::Stopped),
+                Phase::Running { started, .. } => {
+                    self.member_left(r.attempt, r.payload);
+                    self.end(now, r.attempt, r.job_name, started, Outcome::Stopped);
+                }
             }
         }
         let result = match &known {
--- a/crates/worker-stand-in/tests/judged.rs
+++ b/crates/worker-stand-in/tests/judged.rs
@@ -118,6 +118,8 @@
                     WorkerEffect::Silence { .. }
                     | WorkerEffect::Refuse { .. }
                     | WorkerEffect::OtherLife { .. }
+                    | WorkerEffect::MemberCame(_)
+                    | WorkerEffect::MemberLeft(_)
                     | WorkerEffect::Register(_) => {}
                 }
             }
--- a/crates/worker-stand-in/tests/model.rs
+++ b/crates/worker-stand-in/tests/model.rs
@@ -55,11 +55,33 @@
         WorkerEffect::Silence { token } => Some(format!("{token}:-")),
         WorkerEffect::Refuse { token } => Some(format!("{token}:refused")),
         WorkerEffect::OtherLife { token } => Some(format!("{token}:other life")),
-        WorkerEffect::Register(_) | WorkerEffect::Observe(_) => None,
+        WorkerEffect::Register(_) | WorkerEffect::Observe(_) | WorkerEffect::MemberCame(_) | WorkerEffect::MemberLeft(_) => None,
     };
     effects.iter().filter_map(word).collect()
 }
 
+#[test]
+fn a_member_of_a_gang_runs_until_its_gang_is_over_or_it_is_stopped() {
+    let member = |token, a: &str| {
+        let mut input = start(token, a, 50);
+        if let WorkerInput::Start { order, .. } = &mut input {
+            order.payload = serde_json::from_value(serde_json::json!({ "run_ms": 50, "members": 3 })).unwrap();
+        }
+        input
+    };
+    let mut m = model(Behaviour::default());
+    m.step(0, WorkerInput::Tick);
+    let came = GangMember { attempt: attempt("7.0.0.1"), members: 3, run_ms: Some(50), outcome: Outcome::Succeeded };
+    assert!(m.step(10, member(1, "7.0.0.1")).contains(&WorkerEffect::MemberCame(came)));
+    m.step(10, member(2, "7.0.1.1"));
+    m.step(5_000, WorkerInput::Tick);
+    assert_eq!(m.running().len(), 2, "its own time says nothing");
+    m.step(5_000, WorkerInput::MemberEnds { attempt: attempt("7.0.0.1"), outcome: Outcome::Succeeded });
+    assert_eq!(m.running(), [attempt("7.0.1.1")]);
+    assert!(m.step(5_010, stop(3, "7.0.1.1")).contains(&WorkerEffect::MemberLeft(attempt("7.0.1.1"))));
+    assert!(m.running().is_empty());
+}
+
 /// What a step shows to the oracle.
 fn seen(effects: &[WorkerEffect]) -> Vec<String> {
     let word = |e: &WorkerEffect| match e {
