Hand over leadership in the simulator, amid gangs and refusing logs

The users' record begins with a handover; the simulator knew crashes and cuts alone. LeaderLeaves: the elected scheduler is told to end, hands over, and is gone a moment later.

--- a/crates/fleet-simulator/src/fault.rs
+++ b/crates/fleet-simulator/src/fault.rs
@@ -7,6 +7,8 @@
     SchedulerCrash { scheduler: usize, for_ms: Millis },
     /// The elected scheduler's process dies.
     LeaderCrash { for_ms: Millis },
+    /// The elected scheduler's process is told to end: it hands over, and is gone for a while a moment later.
+    LeaderLeaves { for_ms: Millis },
     /// All schedulers lose power together.
     PowerLoss { for_ms: Millis },
     /// A scheduler's disk is lost: it comes back empty.
--- a/crates/fleet-simulator/src/simulation_faults.rs
+++ b/crates/fleet-simulator/src/simulation_faults.rs
@@ -1,5 +1,8 @@
 use crate::prelude::*;
 
+/// How long a scheduler that is told to end has to hand over.
+const LEAVE_MS: Millis = 1_500;
+
 impl Simulation {
     /// The elected scheduler, or the first that runs.
     pub(crate) fn leader(&self) -> usize {
@@ -44,6 +47,11 @@
         match f.clone() {
             Fault::SchedulerCrash { scheduler, for_ms } => self.crash(scheduler, for_ms, false),
             Fault::LeaderCrash { for_ms } => self.crash(self.leader(), for_ms, false),
+            Fault::LeaderLeaves { for_ms } => {
+                let scheduler = self.leader();
+                self.scheduler(scheduler, SchedulerInput::Leave);
+                self.agenda.set(now + LEAVE_MS, Occurrence::Fault(Fault::SchedulerCrash { scheduler, for_ms }));
+            }
             Fault::PowerLoss { for_ms } => {
                 for i in 0..self.schedulers.len() {
                     self.crash(i, for_ms + i as Millis * 13, false);
--- a/crates/fleet-simulator/src/simulation_settings.rs
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -105,7 +105,7 @@
             let after = at + rng.random_range(100..1_500);
             s.faults.push((
                 after,
-                match rng.random_range(0..8) {
+                match rng.random_range(0..9) {
                     0..4 => Fault::GangTorn { away_ms: rng.random_range(20..300), for_ms: rng.random_range(600..2_400) },
                     4 => Fault::WorkerDies { worker, away_ms: rng.random_range(50..1_000) },
                     5 => {
@@ -116,6 +116,7 @@
                         let behaviour = Behaviour { fail_ratio: 0.5, ..Behaviour::default() };
                         Fault::WorkerErrs { worker, behaviour, for_ms: rng.random_range(2_000..6_000) }
                     }
+                    7 => Fault::LeaderLeaves { for_ms: rng.random_range(300..1_500) },
                     _ => Fault::LeaderCut { one_way: rng.random_bool(0.5), for_ms: rng.random_range(300..2_500) },
                 },
             ));
@@ -124,12 +125,15 @@
     }
 
     /// The faults of [`Self::leased_chaos`] with a log that takes little at a time on slow disks, so that it refuses batches again and
-    /// again.
+    /// again, and with handovers, during which it refuses all.
     pub fn full_log(seed: u64, faults: usize) -> Self {
         let mut s = Self::leased_chaos(seed, faults);
         s.log_bytes = Some(FULL_LOG_BYTES);
         s.faults
             .extend((0..s.schedulers).map(|scheduler| (0, Fault::SlowDisk { scheduler, sync_ms: FULL_LOG_SYNC_MS, for_ms: s.load_ms })));
+        for at in (HANDOVER_EVERY_MS..s.load_ms).step_by(HANDOVER_EVERY_MS as usize) {
+            s.faults.push((at, Fault::LeaderLeaves { for_ms: HANDOVER_EVERY_MS / 8 }));
+        }
         s.callers.time_scale = GANG_TIME_SCALE;
         s
     }
@@ -160,6 +164,8 @@
 const FULL_LOG_BYTES: usize = 4 << 10;
 /// How long its disks take for a sync.
 const FULL_LOG_SYNC_MS: Millis = 120;
+/// Between two handovers there.
+const HANDOVER_EVERY_MS: Millis = 7_000;
 /// How long gangs that end together work, in times the profile's.
 const GANG_TIME_SCALE: f64 = 0.15;
 /// Between two losses of a gateway's way to the schedulers, with a worker that dies meanwhile.
