--- a/crates/fleet-simulator/src/main.rs
+++ b/crates/fleet-simulator/src/main.rs
@@ -8,20 +8,57 @@
     count: u64,
     faults: usize,
     threads: u64,
-    leased: bool,
-    gangs: bool,
+    kind: Kind,
     verbose: bool,
     timing: bool,
 }
 
+/// What kind of run.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Plain,
+    Leased,
+    Gangs,
+    FullLog,
+}
+
+impl Kind {
+    /// The kinds with their options on the command line.
+    const OPTIONS: [(Kind, &str, &str); 3] = [
+        (Kind::Leased, "leased", "workers take leases; orders come late, and gateways stand still or are cut off"),
+        (Kind::Gangs, "gangs", "gangs that end together, torn as they end; takes no faults"),
+        (Kind::FullLog, "full-log", "as leased, with a log that refuses batches, and handovers"),
+    ];
+
+    fn of(matches: &getopts::Matches) -> Kind {
+        Self::OPTIONS.iter().find(|(_, option, _)| matches.opt_present(option)).map_or(Kind::Plain, |found| found.0)
+    }
+
+    /// Its option, to be asked for again.
+    fn option(self) -> String {
+        Self::OPTIONS.iter().find(|found| found.0 == self).map(|found| format!(" --{}", found.1)).unwrap_or_default()
+    }
+
+    fn settings(self, seed: u64, faults: usize) -> SimulationSettings {
+        match (self, faults) {
+            (Kind::Gangs, _) => SimulationSettings::gangs_that_end_together(seed),
+            (Kind::FullLog, _) => SimulationSettings::full_log(seed, faults),
+            (Kind::Leased, _) => SimulationSettings::leased_chaos(seed, faults),
+            (Kind::Plain, 0) => SimulationSettings::new(seed),
+            (Kind::Plain, _) => SimulationSettings::chaos(seed, faults),
+        }
+    }
+}
+
 fn main() {
     let mut o = getopts::Options::new();
     o.optopt("", "seed", "first seed (1)", "N");
     o.optopt("", "seeds", "how many seeds (1)", "N");
     o.optopt("", "faults", "faults in each run (8); 0 for none", "N");
     o.optopt("", "threads", "threads (1)", "N");
-    o.optflag("", "leased", "workers take leases; orders come late, and gateways stand still or are cut off");
-    o.optflag("", "gangs", "gangs that end together, torn as they end; takes no faults");
+    for (_, option, what) in Kind::OPTIONS {
+        o.optflag("", option, what);
+    }
     o.optflag("", "scenarios", "list the named scenarios");
     o.optopt("", "scenario", "run a named scenario instead, or `all`: prints the worst figures over the seeds", "NAME");
     o.optflag("", "timing", "print each seed's events and wall time as it ends");
@@ -57,8 +94,7 @@
         count: number("seeds", 1),
         faults: number("faults", 8) as usize,
         threads: number("threads", 1).max(1),
-        leased: m.opt_present("leased"),
-        gangs: m.opt_present("gangs"),
+        kind: Kind::of(&m),
         verbose: m.opt_present("verbose"),
         timing: m.opt_present("timing"),
     };
@@ -116,18 +152,9 @@
 
 /// Seeds with faults drawn from them: how many broke a rule.
 fn chaos(asked: &Asked) -> usize {
-    let settings = |seed| match asked.faults {
-        _ if asked.gangs => SimulationSettings::gangs_that_end_together(seed),
-        n if asked.leased => SimulationSettings::leased_chaos(seed, n),
-        0 => SimulationSettings::new(seed),
-        n => SimulationSettings::chaos(seed, n),
-    };
-    let kind = match asked {
-        Asked { gangs: true, .. } => " --gangs",
-        Asked { leased: true, .. } => " --leased",
-        _ => "",
-    };
-    let again = |o: &SimulationOutcome| (!o.is_clean()).then(|| format!("{} --faults {}{kind}", o.describe(), asked.faults));
+    let settings = |seed| asked.kind.settings(seed, asked.faults);
+    let option = asked.kind.option();
+    let again = |o: &SimulationOutcome| (!o.is_clean()).then(|| format!("{} --faults {}{option}", o.describe(), asked.faults));
     let all = run_all(asked, settings, again);
     let broken = all.iter().filter(|o| !o.is_clean()).count();
     let left = all.iter().filter(|o| o.attempts_left > 0).count();
