--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -407,6 +407,11 @@
         if what == signal.SIGKILL:
             self.processes[ip].wait()
 
+    def lose_disk(self, ip):
+        """A machine that has no power loses what stands on its disk."""
+        shutil.rmtree(os.path.join(self.tmp, f"data-{ip}"), ignore_errors=True)
+        self.record(f"platform: {ip} has lost its disk")
+
     def start_workers(self):
         for w in self.workers:
             w.serve()
