--- a/crates/cluster-messages/src/lib.rs
+++ b/crates/cluster-messages/src/lib.rs
@@ -9,6 +9,7 @@
 mod call_body;
 mod call_error;
 mod configuration_calls;
+mod end_list;
 mod gateway_frame;
 mod job_calls;
 mod job_spec;
--- a/crates/cluster-messages/src/prelude.rs
+++ b/crates/cluster-messages/src/prelude.rs
@@ -13,6 +13,7 @@
 pub use crate::call_body::{AnswerBody, CallBody, ControlCall};
 pub use crate::call_error::{CallError, CallResult, Fault};
 pub use crate::configuration_calls::*;
+pub use crate::end_list::EndList;
 pub use crate::gateway_frame::GatewayFrame;
 pub use crate::job_calls::*;
 pub use crate::job_spec::{JobSpec, Repeat, StepSpec};
--- a/crates/cluster-messages/src/worker_orders.rs
+++ b/crates/cluster-messages/src/worker_orders.rs
@@ -279,10 +279,10 @@
     #[n(5)]
     #[serde(default)]
     pub running: Vec<AttemptId>,
-    /// All that ended and is not acknowledged.
+    /// What ended and is not acknowledged.
     #[n(6)]
     #[serde(default)]
-    pub ended: Vec<EndedAttempt>,
+    pub ended: EndList,
     /// How far the running ones are, where the worker tells.
     #[n(7)]
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/fleet-simulator/src/main.rs
+++ b/crates/fleet-simulator/src/main.rs
@@ -20,14 +20,16 @@
     Leased,
     Gangs,
     FullLog,
+    CutLists,
 }
 
 impl Kind {
     /// The kinds with their options on the command line.
-    const OPTIONS: [(Kind, &str, &str); 3] = [
+    const OPTIONS: [(Kind, &str, &str); 4] = [
         (Kind::Leased, "leased", "workers take leases; orders come late, and gateways stand still or are cut off"),
         (Kind::Gangs, "gangs", "gangs that end together, torn as they end; takes no faults"),
         (Kind::FullLog, "full-log", "as leased, with a log that refuses batches, and handovers"),
+        (Kind::CutLists, "cut-lists", "as leased, with short tasks at workers that list few ends at once"),
     ];
 
     fn of(matches: &getopts::Matches) -> Kind {
@@ -43,6 +45,7 @@
         match (self, faults) {
             (Kind::Gangs, _) => SimulationSettings::gangs_that_end_together(seed),
             (Kind::FullLog, _) => SimulationSettings::full_log(seed, faults),
+            (Kind::CutLists, _) => SimulationSettings::cut_lists(seed, faults),
             (Kind::Leased, _) => SimulationSettings::leased_chaos(seed, faults),
             (Kind::Plain, 0) => SimulationSettings::new(seed),
             (Kind::Plain, _) => SimulationSettings::chaos(seed, faults),
--- a/crates/fleet-simulator/src/plant.rs
+++ b/crates/fleet-simulator/src/plant.rs
@@ -17,6 +17,8 @@
     OldSelf,
     /// A scheduler believes whatever a gateway tells of a worker, also one that doesn't hold it any more.
     FormerHolderBelieved,
+    /// A gateway takes a list of ends that was cut for a whole one.
+    CutListTakenAsWhole,
 }
 
 impl Plant {
@@ -29,12 +31,14 @@
         (Plant::StopForgotten, &[Rule::TaskRanTwiceAtOnce, Rule::TaskStartedAfterSuccess, Rule::StartAfterCancel]),
         (Plant::OldSelf, &[Rule::AcknowledgedLost, Rule::JobDisappeared]),
         (Plant::FormerHolderBelieved, &[Rule::TaskRanTwiceAtOnce, Rule::RoomExceeded]),
+        (Plant::CutListTakenAsWhole, &[Rule::TaskStartedAfterSuccess]),
     ];
 
     /// A run in which it should show.
     pub fn settings(self, seed: u64) -> SimulationSettings {
         let mut s = match self {
             Plant::FormerHolderBelieved => SimulationSettings::leased_chaos(seed, 0),
+            Plant::CutListTakenAsWhole => SimulationSettings::cut_lists(seed, 0),
             _ => SimulationSettings::new(seed),
         };
         s.outage_ms = s.load_ms;
@@ -43,7 +47,7 @@
             s.operators.drain_every_ms = 500;
         }
         s.faults = match self {
-            Plant::FormerHolderBelieved => return s,
+            Plant::FormerHolderBelieved | Plant::CutListTakenAsWhole => return s,
             Plant::AckBeforeSync => (0..s.schedulers)
                 .map(|scheduler| (2_000, Fault::SlowDisk { scheduler, sync_ms: 400, for_ms: s.load_ms }))
                 .chain([(15_000, Fault::PowerLoss { for_ms: 500 }), (25_000, Fault::PowerLoss { for_ms: 500 })])
--- a/crates/fleet-simulator/src/simulation.rs
+++ b/crates/fleet-simulator/src/simulation.rs
@@ -86,7 +86,7 @@
         }
         for i in 0..s.settings.workers {
             let seed = s.rng.random();
-            s.workers.push(WorkerNode::new(s.settings.profile, i, s.settings.leased, seed));
+            s.workers.push(WorkerNode::new(&s.settings, i, seed));
             s.agenda.set(100 + i as Millis * 3, Occurrence::WorkerTick(i));
         }
         for (at, f) in s.settings.faults.clone() {
--- a/crates/fleet-simulator/src/simulation_gateways.rs
+++ b/crates/fleet-simulator/src/simulation_gateways.rs
@@ -206,7 +206,10 @@
             (Order::Stop(o), WorkerReply::Answer(WorkerAnswer::Stop(a))) => {
                 GatewayInput::StopAnswered { attempt: o.attempt, worker: o.worker, reply: Reply::Answer(a) }
             }
-            (Order::Hold(o), WorkerReply::Answer(WorkerAnswer::Hold(a))) => {
+            (Order::Hold(o), WorkerReply::Answer(WorkerAnswer::Hold(mut a))) => {
+                if self.settings.plant == Some(Plant::CutListTakenAsWhole) {
+                    a.ended = a.ended.listed().to_vec().into();
+                }
                 GatewayInput::HoldAnswered { worker: o.worker, address, reply: Reply::Answer(a) }
             }
             (Order::Start(o), r) => GatewayInput::StartAnswered { attempt: o.attempt, reply: no_answer(&r) },
--- a/crates/fleet-simulator/src/simulation_settings.rs
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -37,6 +37,8 @@
     pub log_bytes: Option<usize>,
     /// Whether workers run work only while their lease lasts.
     pub leased: bool,
+    /// With leases: ends that a worker lists at once.
+    pub most_ends_listed: usize,
     /// How callers behave; their gateways and seed are set by the run.
     pub callers: CallerSettings,
     /// How operators behave; their gateways and seed are set by the run.
@@ -73,6 +75,7 @@
             step_cost: None,
             log_bytes: None,
             leased: false,
+            most_ends_listed: MOST_ENDS_LISTED,
         }
     }
 
@@ -124,6 +127,20 @@
         s
     }
 
+    /// The faults of [`Self::leased_chaos`] with short tasks at workers that list few ends at once, so that a list is cut whenever one isn't
+    /// heard for a moment.
+    pub fn cut_lists(seed: u64, faults: usize) -> Self {
+        let mut s = Self::leased_chaos(seed, faults);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xc07);
+        s.most_ends_listed = rng.random_range(FEW_ENDS_LISTED);
+        s.callers.time_scale = SHORT_TASKS_TIME_SCALE;
+        for at in (UNHEARD_EVERY_MS..s.load_ms).step_by(UNHEARD_EVERY_MS as usize) {
+            let (gateway, for_ms) = (rng.random_range(0..s.gateways), rng.random_range(800..2_500));
+            s.faults.push((at, Fault::GatewayCutFromWorkers { gateway, for_ms }));
+        }
+        s
+    }
+
     /// The faults of [`Self::leased_chaos`] with a log that takes little at a time on slow disks, so that it refuses batches again and
     /// again, and with handovers, during which it refuses all.
     pub fn full_log(seed: u64, faults: usize) -> Self {
@@ -160,6 +177,14 @@
     }
 }
 
+/// Ends that a worker lists at once, as on the users' platform.
+const MOST_ENDS_LISTED: usize = 500;
+/// Ends that a worker lists at once where lists are to be cut.
+const FEW_ENDS_LISTED: std::ops::RangeInclusive<usize> = 1..=6;
+/// How long tasks run there, in times the profile's.
+const SHORT_TASKS_TIME_SCALE: f64 = 0.15;
+/// Between two times at which a gateway hears none of its workers there.
+const UNHEARD_EVERY_MS: Millis = 3_000;
 /// What a log takes that refuses batches again and again.
 const FULL_LOG_BYTES: usize = 4 << 10;
 /// How long its disks take for a sync.
--- a/crates/fleet-simulator/src/simulation_workers.rs
+++ b/crates/fleet-simulator/src/simulation_workers.rs
@@ -14,7 +14,8 @@
 
 impl WorkerNode {
     /// The i-th worker of a deployment: every other one is old, three to a rack.
-    pub fn new(profile: Profile, i: usize, leased: bool, seed: u64) -> Self {
+    pub fn new(settings: &SimulationSettings, i: usize, seed: u64) -> Self {
+        let (profile, leased) = (settings.profile, settings.leased);
         let mut identity = WorkerIdentity::example(&format!("w{i}"));
         identity.address = std::net::SocketAddr::from(([10, 0, 2, i as u8 + 1], 80));
         identity.service = profile.streams(1).first().map(|s| s.service.to_owned()).unwrap_or_default();
@@ -27,7 +28,7 @@
         if leased {
             told.name.clone_from(&told.boot_id);
         }
-        let model = WorkerModel::new(told, Behaviour::default(), seed);
+        let model = WorkerModel::new(told, Behaviour::default(), seed).listing_at_most(settings.most_ends_listed);
         WorkerNode { identity, model, boots: 1, tick_at: 0 }
     }
 }
--- a/crates/fleet-simulator/tests/planted_faults.rs
+++ b/crates/fleet-simulator/tests/planted_faults.rs
@@ -46,3 +46,8 @@
 fn a_former_holder_that_is_believed_shows() {
     shows(Plant::FormerHolderBelieved);
 }
+
+#[test]
+fn a_cut_list_that_is_taken_as_whole_shows() {
+    shows(Plant::CutListTakenAsWhole);
+}
--- a/crates/gateway-core/src/gateway_core_workers.rs
+++ b/crates/gateway-core/src/gateway_core_workers.rs
@@ -171,10 +171,12 @@
         if let Some(clock) = a.clock_ms {
             h.lease.showed(self.now, clock);
         }
-        if !h.answer(self.steps, &a, &mut line) {
+        let lists = AttemptLists::of(&a);
+        self.counters.lists_cut += u64::from(!a.ended.is_whole());
+        if !h.answer(self.steps, &a, &lists, &mut line) {
             self.counters.holds_crossed += 1;
         } else if leased {
-            self.leased_lists(worker, &a, left_in.unwrap_or(0), &mut line);
+            self.leased_lists(worker, &a, &lists, left_in.unwrap_or(0), &mut line);
         }
         self.counters.attempts_missing += line.missing.len() as u64;
         let ended: Vec<AttemptId> = line.ended.keys().copied().collect();
@@ -196,15 +198,11 @@
 
     /// What the lists of a worker with a lease prove beyond what they show: starts that can't be carried out any more, stops
     /// that are over, attempts that stand still.
-    pub(crate) fn leased_lists(&mut self, worker: &str, a: &HoldAnswer, left_in: u64, line: &mut FactLine) {
-        let running: BTreeSet<AttemptId> = a.running.iter().copied().collect();
-        let ended: BTreeSet<AttemptId> = a.ended.iter().map(|e| e.attempt).collect();
-        let listed = |x: AttemptId| running.contains(&x) || ended.contains(&x);
-        let void = self.starts.void_by_clock(worker, a.clock_ms.unwrap_or(0), listed);
+    pub(crate) fn leased_lists(&mut self, worker: &str, a: &HoldAnswer, lists: &AttemptLists, left_in: u64, line: &mut FactLine) {
+        let void = self.starts.void_by_clock(worker, a.clock_ms.unwrap_or(0), lists);
         self.counters.starts_late += void.len() as u64;
         line.voided.extend(void);
-        let stopped = self.stops.settle_by_list(worker, left_in, |x| running.contains(&x));
-        line.voided.extend(stopped.into_iter().filter(|x| !listed(*x)));
+        line.voided.extend(self.stops.settle_by_lists(worker, left_in, lists));
         let usual = Expectation { patience: 2 * self.settings.stall_patience(Millis::MAX), estimate_ms: 0 };
         let starts = &self.starts;
         if let Some(h) = self.share.get_mut(worker) {
--- a/crates/gateway-core/src/gateway_counters.rs
+++ b/crates/gateway-core/src/gateway_counters.rs
@@ -53,6 +53,8 @@
     hold_errors;
     /// Hold answers that were older than what is known.
     holds_crossed;
+    /// Lists of ends that were cut, so that nothing follows from what they lack.
+    lists_cut;
     /// Attempts found missing.
     attempts_missing;
     /// Leases of silent workers that lapsed.
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod ask_book;
 mod ask_rank;
+mod attempt_lists;
 mod attempt_watch;
 mod backoff;
 mod boot_standing;
--- a/crates/gateway-core/src/prelude.rs
+++ b/crates/gateway-core/src/prelude.rs
@@ -17,6 +17,7 @@
 
 pub use crate::ask_book::AskBook;
 pub use crate::ask_rank::AskRank;
+pub use crate::attempt_lists::{AttemptLists, Listing};
 pub use crate::attempt_watch::{AttemptWatch, Expectation};
 pub use crate::backoff::backoff;
 pub use crate::boot_standing::BootStanding;
--- a/crates/gateway-core/src/start_book.rs
+++ b/crates/gateway-core/src/start_book.rs
@@ -140,10 +140,10 @@
         self.records.iter().filter(move |(_, r)| r.state == OrderState::Sent && r.worker == worker).map(|(a, _)| *a)
     }
 
-    /// The worker's clock is past what starts carried as their lease, and it lists them not: they never ran and never will.
-    pub fn void_by_clock(&mut self, worker: &str, clock_ms: Millis, listed: impl Fn(AttemptId) -> bool) -> Vec<AttemptId> {
+    /// The worker's clock is past what starts carried as their lease, and its lists surely lack them: they never ran and never will.
+    pub fn void_by_clock(&mut self, worker: &str, clock_ms: Millis, lists: &AttemptLists) -> Vec<AttemptId> {
         let over = |r: &StartRecord| r.lease_until.is_some_and(|until| until < clock_ms);
-        let open: Vec<AttemptId> = self.sent_to(worker).filter(|a| !listed(*a) && over(&self.records[a])).collect();
+        let open: Vec<AttemptId> = self.sent_to(worker).filter(|a| lists.lack(*a) && over(&self.records[a])).collect();
         open.into_iter().filter(|a| self.proof(*a, OrderEvent::Void).is_some()).collect()
     }
 
--- a/crates/gateway-core/src/stop_book.rs
+++ b/crates/gateway-core/src/stop_book.rs
@@ -92,15 +92,19 @@
         self.open.iter().filter(move |(_, s)| s.worker == worker).map(|(a, _)| *a)
     }
 
-    /// A list for a hold that left in `step`: stops of what it doesn't show are over if they were accepted before. Those are
-    /// given back; they never ran, or their ends are known.
-    pub fn settle_by_list(&mut self, worker: &str, step: u64, running: impl Fn(AttemptId) -> bool) -> Vec<AttemptId> {
-        let over = |a: &AttemptId, s: &OpenStop| s.worker == worker && s.accepted.is_some_and(|at| at < step) && !running(*a);
-        let done: Vec<AttemptId> = self.open.iter().filter(|(a, s)| over(a, s)).map(|(a, _)| *a).collect();
-        for a in &done {
-            self.open.remove(a);
-        }
-        done
+    /// The lists for a hold that left in `step`: a stop that was accepted before is over once its attempt's end is listed, or neither
+    /// list has the attempt. Those that neither has are given back: they never ran, or their ends are known.
+    pub fn settle_by_lists(&mut self, worker: &str, step: u64, lists: &AttemptLists) -> Vec<AttemptId> {
+        let mut absent = Vec::new();
+        self.open.retain(|a, stop| {
+            let accepted_before = stop.worker == worker && stop.accepted.is_some_and(|at| at < step);
+            let listing = if accepted_before { lists.listing(*a) } else { Listing::Running };
+            if listing == Listing::Absent {
+                absent.push(*a);
+            }
+            matches!(listing, Listing::Running | Listing::Unlisted)
+        });
+        absent
     }
 
     /// It is answered.
--- a/crates/gateway-core/src/worker_hold.rs
+++ b/crates/gateway-core/src/worker_hold.rs
@@ -361,7 +361,7 @@
     }
 
     /// Compares an answer with what is known and adds what it proves; false when it is older than that.
-    pub fn answer(&mut self, step: u64, a: &HoldAnswer, line: &mut FactLine) -> bool {
+    pub fn answer(&mut self, step: u64, a: &HoldAnswer, lists: &AttemptLists, line: &mut FactLine) -> bool {
         let Some(open) = self.open.take() else { return false };
         if !self.mine {
             return true;
@@ -392,7 +392,7 @@
         self.change = a.change;
         self.say_draining(a.draining, line);
         if a.unchanged {
-            self.drop_acknowledged(&open.order, &BTreeSet::new());
+            self.drop_acknowledged(&open.order, |_| true);
             return true;
         }
         // Knowledge of a step comes before the holds of that step, hence `<=` below.
@@ -402,7 +402,7 @@
         self.fold_lists(step, a, line);
         if fresh {
             let gone: Vec<AttemptId> =
-                self.proven.iter().filter(|(x, known)| **known <= open.step && !self.listed.contains(x)).map(|(x, _)| *x).collect();
+                self.proven.iter().filter(|(x, known)| **known <= open.step && lists.lack(**x)).map(|(x, _)| *x).collect();
             for x in gone {
                 self.proven.remove(&x);
                 line.missing.insert(x);
@@ -410,7 +410,7 @@
         }
         // Proven while this hold was out: the next whole list has to show it.
         self.whole |= self.proven.keys().any(|x| !self.listed.contains(x));
-        self.drop_acknowledged(&open.order, &a.ended.iter().map(|e| e.attempt).collect());
+        self.drop_acknowledged(&open.order, |x| lists.lack(x));
         true
     }
 
@@ -423,7 +423,7 @@
                 line.started.insert(x);
             }
         }
-        for e in &a.ended {
+        for e in a.ended.listed() {
             self.proven.remove(&e.attempt);
             self.ends.listed(e.sequence, e.attempt);
             if let Entry::Vacant(v) = self.ended.entry(e.attempt) {
@@ -433,9 +433,9 @@
         }
     }
 
-    /// The worker has seen the acknowledgements of a hold; what it lists still is kept.
-    fn drop_acknowledged(&mut self, order: &HoldOrder, listed: &BTreeSet<AttemptId>) {
-        for x in order.acknowledged.iter().filter(|x| !listed.contains(x)) {
+    /// The worker has seen the acknowledgements of a hold; what it may list still is kept.
+    fn drop_acknowledged(&mut self, order: &HoldOrder, forgotten: impl Fn(AttemptId) -> bool) {
+        for x in order.acknowledged.iter().filter(|x| forgotten(**x)) {
             self.ended.remove(x);
         }
     }
--- a/crates/gateway-core/tests/lease_test.rs
+++ b/crates/gateway-core/tests/lease_test.rs
@@ -22,7 +22,7 @@
         boot_id: W.into(),
         change: clock,
         running: running.to_vec(),
-        ended: ended.to_vec(),
+        ended: ended.to_vec().into(),
         clock_ms: Some(clock),
         ..HoldAnswer::default()
     }))
--- a/crates/gateway-core/tests/stand/mod.rs
+++ b/crates/gateway-core/tests/stand/mod.rs
@@ -160,7 +160,7 @@
 }
 
 pub fn list(boot: &str, change: u64, running: &[AttemptId], ended: &[AttemptId]) -> Reply<HoldAnswer> {
-    let ended = ended.iter().map(|a| EndedAttempt { ran_ms: 9, ..EndedAttempt::new(*a, Outcome::Succeeded) }).collect();
+    let ended: Vec<EndedAttempt> = ended.iter().map(|a| EndedAttempt { ran_ms: 9, ..EndedAttempt::new(*a, Outcome::Succeeded) }).collect();
     let (worker, boot_id) = (W.into(), boot.into());
     Reply::Answer(HoldAnswer {
         worker,
@@ -169,7 +169,7 @@
         draining: false,
         unchanged: false,
         running: running.to_vec(),
-        ended,
+        ended: ended.into(),
         ..HoldAnswer::default()
     })
 }
--- a/crates/gateway/tests/daemon_test.rs
+++ b/crates/gateway/tests/daemon_test.rs
@@ -84,7 +84,7 @@
             draining: true,
             unchanged: false,
             running: vec![],
-            ended: vec![],
+            ended: EndList::default(),
             ..HoldAnswer::default()
         };
         viz::Result::Ok(answer_page(StatusCode::OK, &a, None))
--- a/crates/worker-stand-in/src/prelude.rs
+++ b/crates/worker-stand-in/src/prelude.rs
@@ -9,7 +9,7 @@
 
 pub use bytes::Bytes;
 pub use cluster_messages::{
-    AttemptId, CallError, DrainWorker, EndedAttempt, Fault, HoldAnswer, HoldOrder, Millis, Name, Outcome, Payload, RegisterWorker,
+    AttemptId, CallError, DrainWorker, EndList, EndedAttempt, Fault, HoldAnswer, HoldOrder, Millis, Name, Outcome, Payload, RegisterWorker,
     StartAnswer, StartOrder, StartResult, StopAnswer, StopOrder, StopResult, TaskId, WorkerDrained,
 };
 pub use fleet_oracle::{JobAccepted, JobSpec, JobState, Observation, Oracle, OracleBounds, RecordedObservation, Rule, Verdict};
--- a/crates/worker-stand-in/src/worker_model.rs
+++ b/crates/worker-stand-in/src/worker_model.rs
@@ -1,5 +1,7 @@
 use crate::prelude::*;
 
+/// Ends that a worker with a lease lists at once where nothing else is said.
+const MOST_ENDS_LISTED: usize = 500;
 /// Orders that pile up in front of a frozen worker; more are lost.
 const PILED_UP: usize = 4_096;
 
@@ -36,6 +38,8 @@
     pub(crate) registration: Registration,
     /// Its lease, if it runs work only while that lasts.
     pub(crate) lease: Option<RunLease>,
+    /// With a lease: so many ends does an answer list at once, those with the lowest numbers.
+    pub(crate) most_ends_listed: usize,
     pub(crate) effects: Vec<WorkerEffect>,
 }
 
@@ -60,10 +64,16 @@
             holds: Vec::new(),
             piled_up: VecDeque::new(),
             registration: Registration::default(),
+            most_ends_listed: MOST_ENDS_LISTED,
             effects: Vec::new(),
         }
     }
 
+    /// The same worker, whose answers hold so many ends.
+    pub fn listing_at_most(self, most_ends_listed: usize) -> Self {
+        WorkerModel { most_ends_listed, ..self }
+    }
+
     /// How it registers now.
     pub fn identity(&self) -> &RegisterWorker {
         &self.identity
--- a/crates/worker-stand-in/src/worker_model_leased.rs
+++ b/crates/worker-stand-in/src/worker_model_leased.rs
@@ -88,13 +88,14 @@
         let Some(clock) = self.clock(now) else { return };
         let mut ended: Vec<EndedAttempt> = self.ended.values().cloned().collect();
         ended.sort_unstable_by_key(|e| e.sequence);
+        ended.truncate(self.most_ends_listed);
         let answer = HoldAnswer {
             worker: self.identity.name.clone(),
             boot_id: self.identity.boot_id.clone(),
             change: clock,
             draining: self.behaviour().draining,
             running: self.running(),
-            ended,
+            ended: EndList::limited(ended, self.most_ends_listed),
             clock_ms: Some(clock),
             ..HoldAnswer::default()
         };
--- a/crates/worker-stand-in/src/worker_model_orders.rs
+++ b/crates/worker-stand-in/src/worker_model_orders.rs
@@ -118,8 +118,10 @@
                 continue;
             }
             let unchanged = h.seen == change;
-            let (running, ended) =
-                if unchanged { (Vec::new(), Vec::new()) } else { (self.running(), self.ended.values().cloned().collect()) };
+            let (running, ended) = match unchanged {
+                true => (Vec::new(), EndList::default()),
+                false => (self.running(), self.ended.values().cloned().collect::<Vec<EndedAttempt>>().into()),
+            };
             let (worker, boot_id) = (self.identity.name.clone(), self.identity.boot_id.clone());
             let draining = self.behaviour.draining;
             self.registration.held(now);
--- a/crates/worker-stand-in/tests/http.rs
+++ b/crates/worker-stand-in/tests/http.rs
@@ -85,10 +85,10 @@
         change: 0,
         ..c.call("POST", worker, "/hold", serde_json::json!({"worker": "w1", "gateway": "g", "seen": 0, "wait_ms": 0})).await
     };
-    while h.ended.is_empty() {
+    while h.ended.listed().is_empty() {
         h = c.call("POST", worker, "/hold", serde_json::json!({"worker": "w1", "gateway": "g", "seen": h.change, "wait_ms": 60_000})).await;
     }
-    assert_eq!((h.ended[0].attempt, h.ended[0].outcome), (start.attempt, Outcome::Succeeded));
+    assert_eq!((h.ended.listed()[0].attempt, h.ended.listed()[0].outcome), (start.attempt, Outcome::Succeeded));
     let wrong: CallError = c.call("POST", worker, "/stop", serde_json::json!({"worker": "w2", "attempt": "1.0.0.1"})).await;
     assert_eq!(wrong, CallError::NotFound { what: "worker".into(), name: "w2".into() });
 
--- a/crates/worker-stand-in/tests/judged.rs
+++ b/crates/worker-stand-in/tests/judged.rs
@@ -149,7 +149,7 @@
             _ => prove(a.attempt, None),
         },
         WorkerAnswer::Hold(h) => {
-            h.ended.iter().for_each(|e| prove(e.attempt, Some(e.outcome)));
+            h.ended.listed().iter().for_each(|e| prove(e.attempt, Some(e.outcome)));
             for (i, t) in tasks.iter_mut().enumerate() {
                 let Some((_, boot)) = t.out.as_mut().filter(|o| o.0 == w) else { continue };
                 if h.running.iter().any(|a| (a.task.index as usize, a.number) == (i, t.number)) {
--- a/crates/worker-stand-in/tests/model.rs
+++ b/crates/worker-stand-in/tests/model.rs
@@ -49,7 +49,7 @@
         WorkerEffect::Answer { token, answer: WorkerAnswer::Start(a) } => Some(format!("{token}:{:?}", a.result)),
         WorkerEffect::Answer { token, answer: WorkerAnswer::Stop(a) } => Some(format!("{token}:{:?}", a.result)),
         WorkerEffect::Answer { token, answer: WorkerAnswer::Hold(a) } => {
-            let kept = if a.unchanged { "same".into() } else { format!("{}r{}e", a.running.len(), a.ended.len()) };
+            let kept = if a.unchanged { "same".into() } else { format!("{}r{}e", a.running.len(), a.ended.listed().len()) };
             Some(format!("{token}:{kept}@{}", a.change))
         }
         WorkerEffect::Silence { token } => Some(format!("{token}:-")),
