--- a/crates/caller-stand-in/src/operator_model.rs
+++ b/crates/caller-stand-in/src/operator_model.rs
@@ -226,7 +226,7 @@
             let tree = self.spoilt();
             return self.put(now, base, tree, effects);
         }
-        let tree = self.changed();
+        let tree = self.with_a_queue_out_or_in().unwrap_or_else(|| self.changed());
         self.put(now, base, tree, effects);
         if self.rng.random_bool(self.settings.race_share) {
             let tree = self.changed();
@@ -244,9 +244,9 @@
 
     /// Some zone's queues within the tree.
     fn some_queues<'t>(rng: &mut ChaCha8Rng, regions: &Regions, tree: &'t mut Value) -> Option<&'t mut Map<String, Value>> {
-        let all: Vec<(&String, &String)> = regions.iter().flat_map(|(r, zones)| zones.iter().map(move |z| (r, z))).collect();
-        let (r, z) = all.choose(rng)?;
-        tree["regions"][r.as_str()]["zones"][z.as_str()]["queues"].as_object_mut()
+        let all: Vec<(&str, &str)> = zones_of(regions).collect();
+        let (region, zone) = all.choose(rng)?;
+        queues_of(tree, region, zone)
     }
 
     /// The tree with one queue's urgency, share or cap changed, and perhaps a queue more.
@@ -274,6 +274,36 @@
         tree
     }
 
+    /// The tree with a queue of the deployment's first tree taken out of all zones, or with the one that is out put in again. `None` where
+    /// the operators don't do that, or not with this change.
+    fn with_a_queue_out_or_in(&mut self) -> Option<Value> {
+        let share = self.settings.queue_out_share;
+        if share == 0.0 {
+            return None;
+        }
+        let first = deployment_tree(self.settings.profile, &self.settings.regions);
+        let mut tree = self.tree.clone();
+        let mut put_in = false;
+        let mut names = BTreeSet::new();
+        for (region, zone) in zones_of(&self.settings.regions) {
+            let queues = queues_of(&mut tree, region, zone)?;
+            for (name, settings) in first["regions"][region]["zones"][zone]["queues"].as_object()? {
+                names.insert(name.clone());
+                put_in |= !queues.contains_key(name);
+                queues.entry(name).or_insert_with(|| settings.clone());
+            }
+        }
+        if put_in {
+            return Some(tree);
+        }
+        let names: Vec<String> = names.into_iter().collect();
+        let name = names.choose(&mut self.rng).filter(|_| self.rng.random_bool(share))?;
+        for (region, zone) in zones_of(&self.settings.regions) {
+            queues_of(&mut tree, region, zone)?.remove(name);
+        }
+        Some(tree)
+    }
+
     /// The tree with several faults.
     fn spoilt(&mut self) -> Value {
         let mut tree = self.tree.clone();
@@ -375,6 +405,16 @@
     }
 }
 
+/// All zones, each with its region.
+fn zones_of(regions: &Regions) -> impl Iterator<Item = (&str, &str)> {
+    regions.iter().flat_map(|(region, zones)| zones.iter().map(move |zone| (region.as_str(), zone.as_str())))
+}
+
+/// The queues of a zone within a tree.
+fn queues_of<'t>(tree: &'t mut Value, region: &str, zone: &str) -> Option<&'t mut Map<String, Value>> {
+    tree["regions"][region]["zones"][zone]["queues"].as_object_mut()
+}
+
 impl Model for OperatorModel {
     fn step(&mut self, now: Millis, input: CallerInput) -> Vec<CallerEffect> {
         let mut effects = Vec::new();
--- a/crates/caller-stand-in/src/operator_settings.rs
+++ b/crates/caller-stand-in/src/operator_settings.rs
@@ -25,6 +25,8 @@
     pub resend_share: f64,
     /// Queues that changes add one by one, up to this many, so that the tree grows large.
     pub most_added_queues: u32,
+    /// Share of changes that take a queue out of all zones; the next change puts it in again.
+    pub queue_out_share: f64,
     /// Pause between reads of the configuration, each through the next gateway.
     pub read_every_ms: Millis,
     /// Pause between evacuations.
@@ -53,6 +55,7 @@
             invalid_share: 0.1,
             resend_share: 0.2,
             most_added_queues: 0,
+            queue_out_share: 0.0,
             read_every_ms: 500,
             evacuate_every_ms: 90_000,
             evacuate_for_ms: 20_000,
--- a/crates/fleet-simulator/src/main.rs
+++ b/crates/fleet-simulator/src/main.rs
@@ -21,14 +21,16 @@
     Gangs,
     FullLog,
     CutLists,
+    Queues,
 }
 
 impl Kind {
     /// The kinds with their options on the command line.
-    const OPTIONS: [(Kind, &str, &str); 4] = [
+    const OPTIONS: [(Kind, &str, &str); 5] = [
         (Kind::Leased, "leased", "workers take leases; orders come late, and gateways stand still or are cut off"),
         (Kind::Gangs, "gangs", "gangs that end together, torn as they end; takes no faults"),
         (Kind::FullLog, "full-log", "as leased, with a log that refuses batches, and handovers"),
+        (Kind::Queues, "queues", "operators take queues out of the tree and put them in again"),
         (Kind::CutLists, "cut-lists", "as leased, with short tasks at workers that list few ends at once"),
     ];
 
@@ -45,6 +47,7 @@
         match (self, faults) {
             (Kind::Gangs, _) => SimulationSettings::gangs_that_end_together(seed),
             (Kind::FullLog, _) => SimulationSettings::full_log(seed, faults),
+            (Kind::Queues, _) => SimulationSettings::queues_out_and_in(seed, faults),
             (Kind::CutLists, _) => SimulationSettings::cut_lists(seed, faults),
             (Kind::Leased, _) => SimulationSettings::leased_chaos(seed, faults),
             (Kind::Plain, 0) => SimulationSettings::new(seed),
--- a/crates/fleet-simulator/src/simulation_settings.rs
+++ b/crates/fleet-simulator/src/simulation_settings.rs
@@ -127,6 +127,17 @@
         s
     }
 
+    /// The faults of [`Self::chaos`] with operators who take queues out of the tree and put them in again, as jobs of theirs run and end, and
+    /// a run that lasts longer than any finished job is kept where nothing was promised.
+    pub fn queues_out_and_in(seed: u64, faults: usize) -> Self {
+        let mut s = Self::chaos(seed, faults);
+        s.operators.change_every_ms = QUEUES_CHANGE_EVERY_MS;
+        (s.operators.queue_out_share, s.operators.invalid_share, s.operators.race_share) = (0.7, 0.0, 0.0);
+        s.callers.time_scale = SHORT_TASKS_TIME_SCALE;
+        s.settle_ms = QUEUES_SETTLE_MS;
+        s
+    }
+
     /// The faults of [`Self::leased_chaos`] with short tasks at workers that list few ends at once, so that a list is cut whenever one isn't
     /// heard for a moment.
     pub fn cut_lists(seed: u64, faults: usize) -> Self {
@@ -185,6 +196,10 @@
 const SHORT_TASKS_TIME_SCALE: f64 = 0.15;
 /// Between two times at which a gateway hears none of its workers there.
 const UNHEARD_EVERY_MS: Millis = 3_000;
+/// Between two changes of the tree where queues leave and return.
+const QUEUES_CHANGE_EVERY_MS: Millis = 2_000;
+/// How long is waited there for jobs to be forgotten early.
+const QUEUES_SETTLE_MS: Millis = 90_000;
 /// What a log takes that refuses batches again and again.
 const FULL_LOG_BYTES: usize = 4 << 10;
 /// How long its disks take for a sync.
--- a/crates/scheduler-core/src/cluster_rules.rs
+++ b/crates/scheduler-core/src/cluster_rules.rs
@@ -43,8 +43,19 @@
     /// Upper bound of the first placement class; the others follow in ratios of ten.
     #[n(12)]
     pub first_class_ms: Millis,
+    /// Which version of the fold is in force: entries from before a version are folded as they were then, whatever build reads them.
+    #[n(13)]
+    #[cbor(default)]
+    pub fold_version: u32,
 }
 
+/// The fold before versions were counted.
+const FIRST_FOLD_VERSION: u32 = 0;
+/// From this version on, what a job is promised is fixed as it is accepted.
+const PROMISES_FIXED: u32 = 1;
+/// The newest version of the fold that this build knows; an elected scheduler puts it in force.
+pub const NEWEST_FOLD_VERSION: u32 = PROMISES_FIXED;
+
 /// Upper bound of the first placement class where settings say nothing else.
 const FIRST_CLASS_MS: Millis = 60_000;
 
@@ -71,6 +82,12 @@
             stall_ratio: 3,
             voters: 0,
             first_class_ms: FIRST_CLASS_MS,
+            fold_version: FIRST_FOLD_VERSION,
         }
     }
+
+    /// Whether a job keeps what its queue promised when it was accepted, whatever becomes of the queue.
+    pub fn fixes_promises(&self) -> bool {
+        self.fold_version >= PROMISES_FIXED
+    }
 }
--- a/crates/scheduler-core/src/cluster_state.rs
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -6,6 +6,19 @@
 /// Use of one queue in one zone: tasks out, and their room.
 pub type Use = (u64, Room);
 
+/// What a queue grants its jobs: the most over all of its zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueBounds {
+    /// The strongest urgency.
+    pub urgency: u8,
+    /// Jobs that may be open.
+    pub waiting_jobs: u64,
+    /// How long a job can be asked for once it is over.
+    pub retention_ms: Millis,
+    /// How often a task may fail.
+    pub allowed_failures: u64,
+}
+
 /// The folded state: tables, configuration, placement state, and indexes that are worked out from them.
 #[derive(Clone, Debug)]
 pub struct ClusterState {
@@ -75,6 +88,10 @@
     Version { found: u8 },
 }
 
+/// A finished job is kept at least this many hold intervals, so that a caller's late resend finds it.
+const LEAST_RETENTION_HOLDS: u64 = 60;
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
 /// Urgency of the last jobs of a queue that was taken out of the tree.
 const REMOVED_QUEUE_URGENCY: u8 = 6;
 /// Doublings of the patience with a task that stalls, at most.
@@ -198,26 +215,35 @@
         Some(self.effective.zone(zone).map(|z| z.inherited.clone()).unwrap_or_default())
     }
 
-    /// The strongest urgency, the most waiting jobs and the longest retention of a queue over its zones;
-    /// `None` when no zone has it (enabled).
-    pub fn queue_bounds(&self, queue: &str) -> Option<(u8, u64, Millis, u64)> {
+    /// What a queue grants over all of its zones; `None` when no zone has it (enabled).
+    pub fn queue_bounds(&self, queue: &str) -> Option<QueueBounds> {
         let fold = |z: &Name| self.queue_settings(z, queue).filter(|q| q.settings.enabled);
         let all: Vec<Arc<EffectiveQueue>> = match self.queue_zones.is_empty() {
             true => vec![Arc::default()],
             false => self.queue_zones.get(queue)?.iter().filter_map(fold).collect(),
         };
         let most = |f: fn(&QueueSettings) -> u64| all.iter().map(|q| f(&q.settings)).max();
-        Some((
-            most(|s| s.urgency)? as u8,
-            most(|s| s.max_waiting_jobs)?,
-            most(|s| s.retention_s)? * 1_000,
-            most(|s| s.allowed_failures_max)?,
-        ))
+        Some(QueueBounds {
+            urgency: most(|s| s.urgency)? as u8,
+            waiting_jobs: most(|s| s.max_waiting_jobs)?,
+            retention_ms: most(|s| s.retention_s)? * MS_PER_S,
+            allowed_failures: most(|s| s.allowed_failures_max)?,
+        })
+    }
+
+    /// How long a job that ends now is kept: as long as it was promised, and longer where its queue says so now. A queue that is out of the
+    /// tree lends jobs without a promise what its zones pass down.
+    pub(crate) fn retention_ms(&self, queue: &str, promised: Option<Millis>) -> Millis {
+        let now = self.queue_bounds(queue).map(|bounds| bounds.retention_ms);
+        let least = LEAST_RETENTION_HOLDS * self.tables.rules.hold_interval_ms;
+        let passed_down = || self.effective.zones().values().map(|zone| zone.inherited.settings.retention_s * MS_PER_S).max();
+        let kept = promised.max(now).or_else(|| self.tables.rules.fixes_promises().then(passed_down).flatten());
+        kept.unwrap_or(0).max(least)
     }
 
     /// The urgency in force of a job of a queue: what its caller asked for, up to its queue's.
     pub fn urgency(&self, queue: &str, asked: Option<u8>) -> u8 {
-        let most = self.queue_bounds(queue).map_or(REMOVED_QUEUE_URGENCY, |b| b.0);
+        let most = self.queue_bounds(queue).map_or(REMOVED_QUEUE_URGENCY, |bounds| bounds.urgency);
         asked.map_or(most, |a| a.min(most))
     }
 
--- a/crates/scheduler-core/src/command.rs
+++ b/crates/scheduler-core/src/command.rs
@@ -118,6 +118,10 @@
         /// Upper bound of the first placement class.
         #[n(3)]
         first_class_ms: Millis,
+        /// The version of the fold that is to be in force.
+        #[n(4)]
+        #[cbor(default)]
+        fold_version: u32,
     },
     /// Attempts of less urgent work that are to make room.
     #[n(15)]
--- a/crates/scheduler-core/src/fold.rs
+++ b/crates/scheduler-core/src/fold.rs
@@ -1,8 +1,5 @@
 use crate::prelude::*;
 
-/// A finished job is kept at least this many hold intervals, so that a caller's late resend finds it.
-const LEAST_RETENTION_HOLDS: u64 = 60;
-
 impl ClusterState {
     /// Folds one event. All change of state goes through here.
     pub fn fold(&mut self, e: &Event) {
@@ -169,8 +166,10 @@
         let occurrences = due_at.iter().map(|at| Occurrence { due_at: *at, due: false }).collect();
         self.names.insert(spec.name.clone(), number);
         *self.open_jobs.entry(spec.queue.clone()).or_default() += 1;
+        let promise = self.queue_bounds(&spec.queue).filter(|_| self.tables.rules.fixes_promises());
+        let promised_retention_ms = promise.map(|bounds| bounds.retention_ms);
         let spec = Some(Box::new(JobSpec::clone(spec)));
-        let job = Job { number, spec, digest, summary, occurrences, ending: None, steps, forget_at: 0 };
+        let job = Job { number, spec, digest, summary, occurrences, ending: None, steps, forget_at: 0, promised_retention_ms };
         self.tables.jobs.insert(number, job);
         self.timed.extend((0..).zip(due_at).map(|(occurrence, at)| (*at, number, occurrence)));
     }
@@ -237,7 +236,8 @@
             self.gangs.remove(&(by, id));
         }
         j.steps = Vec::new();
-        let keep = self.queue_bounds(&queue).map_or(0, |b| b.2).max(LEAST_RETENTION_HOLDS * self.tables.rules.hold_interval_ms);
+        let promised = j.promised_retention_ms;
+        let keep = self.retention_ms(&queue, promised);
         if let Some(j) = self.tables.jobs.get_mut(&job) {
             j.forget_at = at + keep;
             self.finished.insert((j.forget_at, job));
--- a/crates/scheduler-core/src/job.rs
+++ b/crates/scheduler-core/src/job.rs
@@ -204,6 +204,10 @@
     /// Once it is over: when it is forgotten, in cluster time. Kept, so that it is the same on every scheduler.
     #[n(8)]
     pub forget_at: Millis,
+    /// How long it is kept at least once it is over, as its queue said when it was accepted; `None` where nothing was promised.
+    #[n(9)]
+    #[cbor(default)]
+    pub promised_retention_ms: Option<Millis>,
 }
 
 impl Job {
--- a/crates/scheduler-core/src/ledger.rs
+++ b/crates/scheduler-core/src/ledger.rs
@@ -95,9 +95,14 @@
                 self.start(&starts, gang);
                 None
             }
-            Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms } => {
-                let rules =
-                    ClusterRules { voters, gang_time_budget_ms: gang_wait_ms, first_class_ms, ..ClusterRules::new(hold_interval_ms) };
+            Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms, fold_version } => {
+                let rules = ClusterRules {
+                    voters,
+                    gang_time_budget_ms: gang_wait_ms,
+                    first_class_ms,
+                    fold_version,
+                    ..ClusterRules::new(hold_interval_ms)
+                };
                 if rules != self.state.tables.rules {
                     self.emit(Event::RulesChanged { rules });
                 }
--- a/crates/scheduler-core/src/ledger_jobs.rs
+++ b/crates/scheduler-core/src/ledger_jobs.rs
@@ -84,7 +84,7 @@
             spec.service = service.unwrap_or_default();
         }
         if spec.allowed_failures.is_none() && !spec.run_until_cancelled {
-            let most = self.queue_bounds(&spec.queue).map_or(0, |b| b.3);
+            let most = self.queue_bounds(&spec.queue).map_or(0, |bounds| bounds.allowed_failures);
             spec.allowed_failures = Some(most.min(u64::from(u32::MAX)) as u32);
         }
         spec
@@ -95,12 +95,12 @@
         let faults = spec.faults();
         ensure!(faults.is_empty(), call_error::invalid(faults));
         let fault = |path: &str, problem: String| call_error::invalid(vec![Fault::new(path, problem)]);
-        let Some((_, most, _, failures)) = self.queue_bounds(&spec.queue) else {
+        let Some(bounds) = self.queue_bounds(&spec.queue) else {
             return Err(fault("queue", format!("no zone has an enabled queue named {}", spec.queue)).build());
         };
         ensure!(
-            u64::from(spec.allowed_failures.unwrap_or(0)) <= failures,
-            fault("allowed_failures", format!("the queue allows at most {failures}"))
+            u64::from(spec.allowed_failures.unwrap_or(0)) <= bounds.allowed_failures,
+            fault("allowed_failures", format!("the queue allows at most {}", bounds.allowed_failures))
         );
         let serves = |z: &Name| {
             let q = self.queue_settings(z, &spec.queue);
@@ -117,7 +117,7 @@
         let open: u64 = self.open_jobs.values().sum();
         ensure!(open < self.tables.rules.open_jobs, call_error::shed("open jobs of the cluster", hint));
         let waiting = self.open_jobs.get(&spec.queue).copied().unwrap_or(0);
-        ensure!(waiting < most, call_error::shed("max_waiting_jobs of the queue", hint));
+        ensure!(waiting < bounds.waiting_jobs, call_error::shed("max_waiting_jobs of the queue", hint));
         Ok(())
     }
 }
--- a/crates/scheduler-core/src/scheduler.rs
+++ b/crates/scheduler-core/src/scheduler.rs
@@ -416,10 +416,12 @@
         let stated = self.settings.stated_voters().filter(|_| rules.voters == 0 || self.settings.most_voters == 0);
         let voters = stated.unwrap_or(rules.voters) + more_voters;
         let (gang_wait_ms, first_class_ms) = (self.settings.gang_wait_ms, self.settings.first_class_ms);
-        let told = (rules.hold_interval_ms, rules.voters, rules.gang_time_budget_ms, rules.first_class_ms);
-        let known = told == (hold_interval_ms, voters, gang_wait_ms, first_class_ms);
+        let fold_version = rules.fold_version.max(NEWEST_FOLD_VERSION);
+        let in_force = (rules.hold_interval_ms, rules.voters, rules.gang_time_budget_ms, rules.first_class_ms, rules.fold_version);
+        let known = in_force == (hold_interval_ms, voters, gang_wait_ms, first_class_ms, fold_version);
         if !known && self.flights.is_empty() && self.inbox.is_empty() {
-            self.propose(now, Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms }, None, Millis::MAX);
+            let rules = Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms, fold_version };
+            self.propose(now, rules, None, Millis::MAX);
         }
     }
 
--- a/crates/scheduler-core/tests/ledger/mod.rs
+++ b/crates/scheduler-core/tests/ledger/mod.rs
@@ -52,6 +52,18 @@
         self.ledger.apply(self.now, CommandBatch { proposer: 1, number: 1, commands: vec![c] }).remove(0)
     }
 
+    /// An elected scheduler of this build puts its version of the fold in force.
+    pub fn put_newest_fold(&mut self) {
+        self.put_fold(NEWEST_FOLD_VERSION);
+    }
+
+    /// A version of the fold comes in force.
+    pub fn put_fold(&mut self, fold_version: u32) {
+        let ClusterRules { hold_interval_ms, voters, gang_time_budget_ms: gang_wait_ms, first_class_ms, .. } =
+            self.ledger.state.tables.rules;
+        self.one(Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms, fold_version });
+    }
+
     pub fn submit(&mut self, spec: JobSpec) -> JobNumber {
         match self.one(Command::Submit { spec, due_in_ms: 0 }) {
             Some(Ok(AnswerBody::SubmitJob(a))) => a.job,
--- a/crates/scheduler-core/tests/ledger_test.rs
+++ b/crates/scheduler-core/tests/ledger_test.rs
@@ -338,7 +338,13 @@
     let mut b = Bench::new(1);
     b.submit(job("j", 1));
     let (t, _) = b.plan()[0];
-    b.one(Command::Rules { hold_interval_ms: 100, voters: 3, gang_wait_ms: 800, first_class_ms: 60_000 });
+    b.one(Command::Rules {
+        hold_interval_ms: 100,
+        voters: 3,
+        gang_wait_ms: 800,
+        first_class_ms: 60_000,
+        fold_version: NEWEST_FOLD_VERSION,
+    });
     assert_eq!(b.ledger.state.tables.rules.voters, 3);
     b.now += 250;
     b.one(Command::Advance);
