Place a job on the service that its queue took it for, though the queue moved since

Of a job whose queue moved to another service while tasks of it waited, or were to be tried again, nothing was started any more: neither the former service's workers (the queue's list lacks that service) nor the new one's (the job names the former).

Cause: the list of services says whose jobs a queue takes, and was looked at again at each placement: a promise made at acceptance was read from the configuration of the moment.

Change: from version 1 of the fold on, the list counts at acceptance alone. New jobs follow the newest tree. `why` reads the settings that placement reads: of a job whose queue is out it said that workers "are in a zone where the queue isn't".

--- a/crates/scheduler-core/src/cluster_state.rs
+++ b/crates/scheduler-core/src/cluster_state.rs
@@ -206,9 +206,18 @@
         self.effective.get(zone, queue).cloned()
     }
 
-    /// The settings by which tasks of accepted jobs are placed: a queue that was taken out of the tree lends its last jobs what
-    /// the zone passes down.
-    pub fn placement_queue_settings(&self, zone: &str, queue: &str) -> Option<Arc<EffectiveQueue>> {
+    /// The settings by which tasks of accepted jobs of a service are placed. A queue that was taken out of the tree lends its last jobs what
+    /// the zone passes down. One that takes jobs of other services since still places those that it took; before that was promised it
+    /// placed them nowhere.
+    pub fn placement_queue_settings(&self, zone: &str, queue: &str, service: &str) -> Option<Arc<EffectiveQueue>> {
+        let settings = self.queue_settings_or_passed_down(zone, queue)?;
+        let services = &settings.settings.services;
+        let takes_service = services.is_empty() || services.iter().any(|taken| taken == service);
+        (takes_service || self.tables.rules.fixes_promises()).then_some(settings)
+    }
+
+    /// The settings of a queue in a zone; what the zone passes down for a queue that was taken out of the tree.
+    pub(crate) fn queue_settings_or_passed_down(&self, zone: &str, queue: &str) -> Option<Arc<EffectiveQueue>> {
         if self.queue_zones.contains_key(queue) {
             return self.queue_settings(zone, queue);
         }
--- a/crates/scheduler-core/src/explain.rs
+++ b/crates/scheduler-core/src/explain.rs
@@ -41,7 +41,7 @@
         let mut why: BTreeMap<&str, u32> = BTreeMap::new();
         for (i, w) in &self.tables.workers {
             let kind = st.kinds.is_empty() || st.kinds.contains(&w.told.kind);
-            let settings = self.queue_settings(&w.told.zone, &spec.queue);
+            let settings = self.placement_queue_settings(&w.told.zone, &spec.queue, &spec.service);
             let live = self.on_worker.get(i).map_or(0, BTreeSet::len);
             let reason = if w.told.service != spec.service {
                 "serve another service"
--- a/crates/scheduler-core/src/ledger_workers.rs
+++ b/crates/scheduler-core/src/ledger_workers.rs
@@ -399,7 +399,7 @@
         kinds: &[Name],
         labels: &[Name],
     ) -> bool {
-        let settings = self.placement_queue_settings(&worker.told.zone, queue);
+        let settings = self.placement_queue_settings(&worker.told.zone, queue, service);
         self.is_open(index, worker, self.is_held(worker)) && settings.is_some_and(|queue| worker.takes(&queue, service, kinds, labels))
     }
 }
--- a/crates/scheduler-core/src/planning/start_planner.rs
+++ b/crates/scheduler-core/src/planning/start_planner.rs
@@ -205,7 +205,7 @@
         let mut share = 0.0f64;
         for zone in self.state.zone_room.keys() {
             used = used.add(self.book.queue_use(zone, queue).1);
-            if let Some(queue) = self.state.placement_queue_settings(zone, queue) {
+            if let Some(queue) = self.state.queue_settings_or_passed_down(zone, queue) {
                 share = share.max(queue.settings.share);
             }
         }
@@ -427,8 +427,11 @@
             return known.clone();
         }
         let (state, book) = (self.state, &self.book);
-        let queues: BTreeMap<&Name, Arc<EffectiveQueue>> =
-            state.zone_room.keys().filter_map(|zone| Some((zone, state.placement_queue_settings(zone, &group.queue)?))).collect();
+        let queues: BTreeMap<&Name, Arc<EffectiveQueue>> = state
+            .zone_room
+            .keys()
+            .filter_map(|zone| Some((zone, state.placement_queue_settings(zone, &group.queue, &group.service)?)))
+            .collect();
         let may = |worker: &WorkerRecord| {
             book.note(LookPurpose::Placement, 1);
             let queue = queues.get(&worker.told.zone);
--- a/crates/scheduler-core/src/planning/zone_allowance.rs
+++ b/crates/scheduler-core/src/planning/zone_allowance.rs
@@ -10,7 +10,7 @@
 ) -> BTreeMap<Name, u64> {
     let mut allowance = BTreeMap::new();
     for (zone, (room, used)) in &state.zone_room {
-        let Some(queue) = state.placement_queue_settings(zone, &group.queue) else { continue };
+        let Some(queue) = state.placement_queue_settings(zone, &group.queue, &group.service) else { continue };
         let mut most = cap_left(&queue.settings, *room, book.queue_use(zone, &group.queue), group.room);
         if !urgent {
             let zone_settings = state.effective.zone(zone);
--- a/crates/scheduler-core/src/worker_record.rs
+++ b/crates/scheduler-core/src/worker_record.rs
@@ -72,14 +72,14 @@
         self.gateway.is_some() && self.assignment == assignment
     }
 
-    /// Whether it is of the service, kinds and labels that a task asks for, and one that the task's queue may use.
+    /// Whether it is of the service, kinds and labels that a task asks for, and of a kind that the task's queue may use. That the queue takes
+    /// jobs of the service was looked at as the job was accepted.
     pub fn takes(&self, queue: &EffectiveQueue, service: &str, kinds: &[Name], labels: &[Name]) -> bool {
         let (queue, told) = (&queue.settings, &self.told);
         told.service == service
             && (kinds.is_empty() || kinds.contains(&told.kind))
             && labels.iter().all(|label| told.labels.contains(label))
             && (queue.kinds.is_empty() || queue.kinds.contains(&told.kind))
-            && (queue.services.is_empty() || queue.services.iter().any(|allowed| allowed == service))
     }
 
     /// Its whole room.
