--- a/crates/scheduler-core/tests/ledger/mod.rs
+++ b/crates/scheduler-core/tests/ledger/mod.rs
@@ -64,6 +64,14 @@
         self.one(Command::Rules { hold_interval_ms, voters, gang_wait_ms, first_class_ms, fold_version });
     }
 
+    /// The operators' tree is replaced.
+    pub fn configure(&mut self, tree: &serde_json::Value) {
+        let base_version = self.ledger.state.configuration.version();
+        let change_id = format!("change-{base_version}");
+        let answer = self.one(Command::PutConfiguration { base_version, change_id, tree: tree.to_string().into_bytes(), source: None });
+        assert!(matches!(answer, Some(Ok(_))), "{answer:?}");
+    }
+
     pub fn submit(&mut self, spec: JobSpec) -> JobNumber {
         match self.one(Command::Submit { spec, due_in_ms: 0 }) {
             Some(Ok(AnswerBody::SubmitJob(a))) => a.job,
