--- a/crates/caller-stand-in/src/lib.rs
+++ b/crates/caller-stand-in/src/lib.rs
@@ -20,6 +20,7 @@
 mod observing;
 mod operator_model;
 mod operator_settings;
+mod operator_tree;
 mod profile;
 mod run;
 mod run_command;
--- a/crates/caller-stand-in/src/operator_model.rs
+++ b/crates/caller-stand-in/src/operator_model.rs
@@ -59,12 +59,11 @@
     timers: Timers<Due>,
     /// The newest version known, and whether the own tree is it.
     version: Option<u64>,
-    tree: Value,
+    tree: OperatorTree,
     /// Whether the deployment's first tree is in force.
     founded: bool,
     changes: u64,
     orders: u64,
-    added: u32,
     next_look: usize,
     workers: Vec<Name>,
     drained: BTreeSet<Name>,
@@ -81,11 +80,10 @@
             courier: Courier::new(settings.gateways.clone(), rng.random()),
             timers: Timers::default(),
             version: None,
-            tree: deployment_tree(settings.profile, &settings.regions),
+            tree: OperatorTree::new(&settings),
             founded: false,
             changes: 0,
             orders: 0,
-            added: 0,
             next_look: 0,
             workers: Vec::new(),
             drained: BTreeSet::new(),
@@ -117,7 +115,7 @@
 
     /// The tree it last put in force, or is about to.
     pub fn tree(&self) -> &Value {
-        &self.tree
+        self.tree.in_force()
     }
 
     /// Zones it holds evacuated.
@@ -216,20 +214,20 @@
             return;
         };
         if !self.founded {
-            let tree = self.tree.clone();
+            let tree = self.tree.in_force().clone();
             return self.put(now, base, tree, effects);
         }
         if self.quiet {
             return;
         }
         if self.rng.random_bool(self.settings.invalid_share) {
-            let tree = self.spoilt();
+            let tree = self.tree.spoilt(&mut self.rng);
             return self.put(now, base, tree, effects);
         }
-        let tree = self.with_a_queue_out_or_in().unwrap_or_else(|| self.changed());
+        let tree = self.tree.next(&mut self.rng);
         self.put(now, base, tree, effects);
         if self.rng.random_bool(self.settings.race_share) {
-            let tree = self.changed();
+            let tree = self.tree.changed(&mut self.rng);
             self.put(now, base, tree, effects);
         }
     }
@@ -242,77 +240,6 @@
         self.send(now, Errand::Put { tree, call: call.clone() }, call.into_body(), effects);
     }
 
-    /// Some zone's queues within the tree.
-    fn some_queues<'t>(rng: &mut ChaCha8Rng, regions: &Regions, tree: &'t mut Value) -> Option<&'t mut Map<String, Value>> {
-        let all: Vec<(&str, &str)> = zones_of(regions).collect();
-        let (region, zone) = all.choose(rng)?;
-        queues_of(tree, region, zone)
-    }
-
-    /// The tree with one queue's urgency, share or cap changed, and perhaps a queue more.
-    fn changed(&mut self) -> Value {
-        let mut tree = self.tree.clone();
-        let more = self.added < self.settings.most_added_queues;
-        let rng = &mut self.rng;
-        if let Some(queues) = Self::some_queues(rng, &self.settings.regions, &mut tree) {
-            let names: Vec<String> = queues.keys().cloned().collect();
-            if let Some(name) = names.choose(rng) {
-                let (what, value) = match rng.random_range(0..3) {
-                    0 => ("urgency", json!(rng.random_range(1..=9))),
-                    1 => ("share", json!(f64::from(rng.random_range(1..=32)) / 4.0)),
-                    _ => ("cap_cpu_share", json!(f64::from(rng.random_range(10..=50)) / 50.0)),
-                };
-                if let Some(q) = queues.get_mut(name) {
-                    q["settings"][what] = value;
-                }
-            }
-            if more {
-                self.added += 1;
-                queues.insert(format!("added-{:05}", self.added), json!({"settings": {"share": 0.5}}));
-            }
-        }
-        tree
-    }
-
-    /// The tree with a queue of the deployment's first tree taken out of all zones, or with the one that is out put in again. `None` where
-    /// the operators don't do that, or not with this change.
-    fn with_a_queue_out_or_in(&mut self) -> Option<Value> {
-        let share = self.settings.queue_out_share;
-        if share == 0.0 {
-            return None;
-        }
-        let first = deployment_tree(self.settings.profile, &self.settings.regions);
-        let mut tree = self.tree.clone();
-        let mut put_in = false;
-        let mut names = BTreeSet::new();
-        for (region, zone) in zones_of(&self.settings.regions) {
-            let queues = queues_of(&mut tree, region, zone)?;
-            for (name, settings) in first["regions"][region]["zones"][zone]["queues"].as_object()? {
-                names.insert(name.clone());
-                put_in |= !queues.contains_key(name);
-                queues.entry(name).or_insert_with(|| settings.clone());
-            }
-        }
-        if put_in {
-            return Some(tree);
-        }
-        let names: Vec<String> = names.into_iter().collect();
-        let name = names.choose(&mut self.rng).filter(|_| self.rng.random_bool(share))?;
-        for (region, zone) in zones_of(&self.settings.regions) {
-            queues_of(&mut tree, region, zone)?.remove(name);
-        }
-        Some(tree)
-    }
-
-    /// The tree with several faults.
-    fn spoilt(&mut self) -> Value {
-        let mut tree = self.tree.clone();
-        if let Some(queues) = Self::some_queues(&mut self.rng, &self.settings.regions, &mut tree) {
-            queues.insert("spoilt".to_owned(), json!({"settings": {"urgency": 42, "share": -1.0, "no_such_setting": true}}));
-        }
-        tree
-    }
-
     /// Perhaps sends an acknowledged order once more.
     fn perhaps_again(&mut self, now: Millis, call: CallBody) {
         if self.rng.random_bool(self.settings.resend_share) {
@@ -329,7 +256,8 @@
                 self.knows(c.version);
                 // A tree that others put before stands: changes build on it.
                 if c.version > 0 && self.changes == 0 && c.tree.0.is_object() {
-                    (self.tree, self.founded) = (c.tree.0, true);
+                    self.tree.replace(c.tree.0);
+                    self.founded = true;
                 }
                 self.next_change(now);
             }
@@ -373,7 +301,8 @@
         match ending {
             Ending::Answered(AnswerBody::PutConfiguration(a), _) => {
                 if self.version.is_none_or(|v| a.version > v) {
-                    (self.tree, self.founded) = (tree, true);
+                    self.tree.replace(tree);
+                    self.founded = true;
                 }
                 self.knows(a.version);
                 self.perhaps_again(now, call.into_body());
@@ -405,16 +334,6 @@
     }
 }
 
-/// All zones, each with its region.
-fn zones_of(regions: &Regions) -> impl Iterator<Item = (&str, &str)> {
-    regions.iter().flat_map(|(region, zones)| zones.iter().map(move |zone| (region.as_str(), zone.as_str())))
-}
-
-/// The queues of a zone within a tree.
-fn queues_of<'t>(tree: &'t mut Value, region: &str, zone: &str) -> Option<&'t mut Map<String, Value>> {
-    tree["regions"][region]["zones"][zone]["queues"].as_object_mut()
-}
-
 impl Model for OperatorModel {
     fn step(&mut self, now: Millis, input: CallerInput) -> Vec<CallerEffect> {
         let mut effects = Vec::new();
--- a/crates/caller-stand-in/src/prelude.rs
+++ b/crates/caller-stand-in/src/prelude.rs
@@ -37,6 +37,7 @@
 pub use crate::observing::{observe_answer, observe_sent};
 pub use crate::operator_model::OperatorModel;
 pub use crate::operator_settings::OperatorSettings;
+pub(crate) use crate::operator_tree::OperatorTree;
 pub use crate::profile::Profile;
 pub use crate::run::{RunHandle, RunSettings, run};
 pub use crate::run_command::*;
