--- a/crates/gateway-core/tests/lease_test.rs
+++ b/crates/gateway-core/tests/lease_test.rs
@@ -37,19 +37,6 @@
     fx.iter().filter_map(hold).collect()
 }
 
-/// Time passes, with an elected scheduler at hand.
-fn pass(t: &mut Stand, ms: Millis) -> Vec<GatewayEffect> {
-    let mut all = Vec::new();
-    for _ in 0..ms / 25 {
-        let fx = t.tick(25);
-        if sent(&fx).iter().any(|f| matches!(f, GatewayFrame::Pulse { .. })) {
-            all.extend(t.echo(&fx));
-        }
-        all.extend(fx);
-    }
-    all
-}
-
 /// Time passes, and no hold gets an answer.
 fn silent(t: &mut Stand, ms: Millis) -> Vec<GatewayEffect> {
     let mut all = t.held(Reply::Unknown);
--- a/crates/gateway-core/tests/stand/mod.rs
+++ b/crates/gateway-core/tests/stand/mod.rs
@@ -159,6 +159,19 @@
     }
 }
 
+/// Time passes, with an elected scheduler at hand.
+pub fn pass(stand: &mut Stand, ms: Millis) -> Vec<GatewayEffect> {
+    let mut all = Vec::new();
+    for _ in 0..ms / 25 {
+        let fx = stand.tick(25);
+        if sent(&fx).iter().any(|f| matches!(f, GatewayFrame::Pulse { .. })) {
+            all.extend(stand.echo(&fx));
+        }
+        all.extend(fx);
+    }
+    all
+}
+
 pub fn list(boot: &str, change: u64, running: &[AttemptId], ended: &[AttemptId]) -> Reply<HoldAnswer> {
     let ended: Vec<EndedAttempt> = ended.iter().map(|a| EndedAttempt { ran_ms: 9, ..EndedAttempt::new(*a, Outcome::Succeeded) }).collect();
     let (worker, boot_id) = (W.into(), boot.into());
