--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -31,7 +31,7 @@
 /// A scheduled job in a quiet system; all processes of the core are killed at once and return within a second.
 fn scheduled(record: &Record, path: &Path, trouble: bool) -> i32 {
     let plan = Arc::new(|_: &str, _: &str, _: u64| (Some(400), "done".to_owned()));
-    let (mut p, _w) = match fleet(record, 3, 3, &["a", "a", "b", "a", "b", "a"], 16_000, plan) {
+    let (mut p, _w) = match fleet(record, 3, 3, &["a", "a", "b", "a", "a", "a", "a", "b", "a", "a", "a", "a"], 16_000, plan) {
         Ok(f) => f,
         Err(e) => return e,
     };
@@ -141,15 +141,20 @@
 /// Two hopeless jobs in a busy three seconds ask for a label; then sound jobs ask for it.
 fn hopeless(record: &Record, path: &Path, trouble: bool) -> i32 {
     let plan = Arc::new(|_: &str, spec: &str, _: u64| (Some(300), if spec == "hopeless" { "failed" } else { "done" }.to_owned()));
-    let (mut p, w) = match fleet(record, 3, 3, &["a", "a", "b", "a", "b", "a"], 16_000, plan) {
+    let (mut p, w) = match fleet(record, 3, 3, &["a", "a", "b", "a", "a", "a", "a", "b", "a", "a", "a", "a"], 16_000, plan) {
         Ok(f) => f,
         Err(e) => return e,
     };
     let job = |spec: &str, count: u32, label: &str| {
-        let requires = if label.is_empty() { String::new() } else { format!(",\"Requires\":\"{label}\"") };
+        let requires = match label {
+            "" => String::new(),
+            "apart" => ",\"AntiAffinity\":1".to_owned(),
+            label => format!(",\"Requires\":\"{label}\""),
+        };
         format!("{{\"TaskSpec\":\"{spec}\",\"Steps\":[{{\"Count\":{count},\"Cpu\":1000,\"MemMb\":512,\"EstimateMs\":300{requires}}}]}}")
     };
-    // 14 jobs a second: about one in seven asks for a label. In the last three seconds two of 42 jobs can never be done.
+    // 14 jobs a second: one in seven asks for a label, another for a worker to each task. Of 42 jobs in about three seconds two can never
+    // be done.
     let mut n = 0u64;
     let mut send = |p: &Platform, body: &str| {
         n += 1;
@@ -157,10 +162,16 @@
         (p.submit(&format!("/one/{id}"), body, 6), id)
     };
     for k in 0..98u64 {
-        let label = match k % 14 { 3 => "b", 9 => "a", _ => "" };
+        let label = match k % 14 {
+            3 => "b",
+            9 => "a",
+            1 | 6 => "apart",
+            _ => "",
+        };
         let hopeless = k == 60 || k == 80;
         let body = match hopeless {
-            true => job(if trouble { "hopeless" } else { "sound" }, 12, "b"),
+            true => job(if trouble { "hopeless" } else { "sound" }, 28, "b"),
+            false if label == "apart" => job("sound", 10, label),
             false => job("sound", 2 + (k % 5) as u32, label),
         };
         if !send(&p, &body).0 {
@@ -185,7 +196,7 @@
     while record.ms() < ended + FINISH_S * 1_000 {
         sleep(Duration::from_millis(50));
     }
-    // finish_s later: for 3 s, nothing of a job runs, though its turn has come and the workers of its label are idle.
+    // finish_s later: for 3 s, nothing of a job runs, though its turn has come and the workers of its label have room.
     let from = record.ms();
     let mut idle_since: BTreeMap<&str, u64> = waits.iter().map(|(id, _)| (id.as_str(), from)).collect();
     let mut broken = false;
@@ -195,7 +206,10 @@
         let now = record.ms();
         for (id, _) in &waits {
             let begun = !lines(path, &["START", id]).is_empty();
-            let free = busy.iter().all(|b| b.1 == 0);
+            // Each task takes one core of 16: room for two on workers of the label, under half of all in use.
+            let room: usize = busy.iter().filter(|b| b.0 == "b").map(|b| 16usize.saturating_sub(b.1)).sum();
+            let used: usize = busy.iter().map(|b| b.1).sum();
+            let free = room >= 2 && used * 2 < 16 * busy.len();
             if begun || !free {
                 idle_since.insert(id, now);
             } else if now > idle_since[id.as_str()] + IDLE_MS {
