--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -17,14 +17,13 @@
         "scheduled" => scheduled(record, path, trouble),
         "hopeless" => hopeless(record, path, trouble),
         "reserve" => reserve(record, path, trouble),
-        "first-start" => first_start(record, trouble),
+        "replaced" => replaced(record, trouble),
         _ => 2,
     }
 }
 
 const FINISH_S: u64 = 14;
 const RECOVERY_S: u64 = 12;
-const ACK_MS: u64 = 4_000;
 /// A job may have nothing running for so long.
 const IDLE_MS: u64 = 3_000;
 
@@ -104,40 +103,6 @@
     i32::from(broken)
 }
 
-/// The core machine with the lowest address is killed during the very first start, and comes back.
-fn first_start(record: &Record, trouble: bool) -> i32 {
-    let mut p = Platform::new(record, 3, 2);
-    p.launch(0, true);
-    let began = record.ms();
-    if trouble {
-        sleep(Duration::from_millis(200));
-        p.signal(0, SIGKILL);
-    }
-    while record.ms() < began + 250 {
-        sleep(Duration::from_millis(5));
-    }
-    for i in 1..p.machines.len() {
-        p.launch(i, true);
-    }
-    if trouble {
-        sleep(Duration::from_millis(500));
-        // Bootstrap is true at the first start of the whole system only.
-        p.launch(0, false);
-    }
-    // Steady from ContactMs after that on; a valid configuration wants its acknowledgement within AckMs of steady state.
-    sleep(Duration::from_millis(3_000));
-    let acknowledged = p.put_config(1, 0, ACK_MS / 1_000);
-    let broken = acknowledged != Ok(200);
-    if broken {
-        // Whether it ever comes about.
-        let later = p.put_config(1, 0, 60);
-        record.say(format!("CHECK no acknowledgement within {ACK_MS} ms of steady state; in 60 s more: {later:?}"));
-        let _ = p.client(0, "GET", "/one/", "");
-    }
-    p.finish();
-    i32::from(broken)
-}
-
 /// Two hopeless jobs in a busy three seconds ask for a label; then sound jobs ask for it.
 fn hopeless(record: &Record, path: &Path, trouble: bool) -> i32 {
     let plan = Arc::new(|_: &str, spec: &str, _: u64| (Some(300), if spec == "hopeless" { "failed" } else { "done" }.to_owned()));
@@ -313,3 +278,56 @@
     p.finish();
     i32::from(broken)
 }
+
+/// Each core machine is replaced in turn, the one that leads last.
+fn replaced(record: &Record, trouble: bool) -> i32 {
+    let plan = Arc::new(|_: &str, _: &str, _: u64| (Some(400), "done".to_owned()));
+    let (mut p, _w) = match fleet(record, 3, 3, &["a", "a", "a", "a", "b", "b"], 16_000, plan) {
+        Ok(f) => f,
+        Err(e) => return e,
+    };
+    let job = "{\"TaskSpec\":\"plain\",\"Steps\":[{\"Count\":2,\"Cpu\":500,\"MemMb\":256,\"EstimateMs\":400}]}";
+    let mut accepted = p.submit("/one/00000000000000a1", job, 10);
+    sleep(Duration::from_secs(4));
+    let leader = p.leader.lock().unwrap().clone();
+    let leads = |p: &Platform, address: &str| p.machines.iter().position(|m| m.core && address == format!("{}:{}", m.ip, p.control_port));
+    let Some(first) = leads(&p, &leader) else {
+        p.finish();
+        return 2;
+    };
+    record.say(format!("CHECK {} leads: heartbeats are sent to it", p.machines[first].name));
+    if trouble {
+        for i in p.cores().into_iter().filter(|i| *i != first) {
+            p.replace_core(i, 1_000);
+            // Its successor has CatchUpS (4 s) and more.
+            sleep(Duration::from_secs(14));
+            accepted &= p.submit(&format!("/one/00000000000000b{i}"), job, 10);
+        }
+        if leads(&p, &p.leader.lock().unwrap().clone()) != Some(first) || !accepted {
+            p.finish();
+            return 2;
+        }
+        p.replace_core(first, 1_000);
+    } else {
+        sleep(Duration::from_secs(30));
+    }
+    let back = record.ms();
+    let now = p.put_config(2, 1, 12);
+    record.say(format!("CHECK the core takes a configuration: {now:?}"));
+    while record.ms() < back + RECOVERY_S * 1_000 + FINISH_S * 1_000 {
+        sleep(Duration::from_millis(50));
+    }
+    // All is calm since long, and the traffic is over: a job that was accepted is asked for, by each front, again and again for 12 s.
+    let mut answered = false;
+    for n in 0..12 {
+        answered |= p.client(n, "GET", "/one/00000000000000a1", "").is_ok_and(|r| r.status == 200);
+        sleep(Duration::from_secs(1));
+    }
+    let another = p.submit("/one/00000000000000c1", job, 3);
+    record.say(format!("CHECK an accepted job was answered: {answered}; another one was accepted: {another}"));
+    p.finish();
+    if now != Ok(200) {
+        return 2;
+    }
+    i32::from(!answered)
+}
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -475,10 +475,10 @@
     }
 
     /// Heartbeats until the worker is dead.
-    pub fn beat(self: &Arc<Self>, controls: Vec<String>, beat_ms: u64) {
+    pub fn beat(self: &Arc<Self>, list: Arc<Mutex<Vec<String>>>, leader: Arc<Mutex<String>>, beat_ms: u64) {
         let me = self.clone();
         spawn(move || {
-            let mut at = controls.clone();
+            let mut at = list.lock().unwrap().clone();
             let mut seq = 0u64;
             loop {
                 let (dead, draining) = {
@@ -498,9 +498,12 @@
                 match control(&at, seq as usize, "PUT", &format!("/v1/instances/{}", me.id), &[], &body, until) {
                     Ok((r, _)) => {
                         let to = Json::parse(&r.body).and_then(|j| j.text("HeartbeatAddr").map(str::to_owned));
-                        at = to.map_or(controls.clone(), |a| vec![a]);
+                        if let Some(to) = &to {
+                            leader.lock().unwrap().clone_from(to);
+                        }
+                        at = to.map_or_else(|| list.lock().unwrap().clone(), |a| vec![a]);
                     }
-                    Err(_) => at = controls.clone(),
+                    Err(_) => at = list.lock().unwrap().clone(),
                 }
                 sleep(Duration::from_millis(beat_ms));
             }
@@ -515,12 +518,16 @@
     pub zone: String,
     pub ip: String,
     pub core: bool,
+    /// It went away for good.
+    pub gone: bool,
     pub child: Option<Child>,
 }
 
 pub struct Platform {
     pub folder: PathBuf,
     pub net: u32,
+    pub third: u32,
+    pub worker_port: u16,
     pub control_port: u16,
     pub front_port: u16,
     pub ready_port: u16,
@@ -528,6 +535,10 @@
     pub machines: Vec<Machine>,
     pub record: Record,
     pub zones: Vec<&'static str>,
+    /// The list from which callers of `control` pick.
+    pub list: Arc<Mutex<Vec<String>>>,
+    /// Where heartbeats were acknowledged last.
+    pub leader: Arc<Mutex<String>>,
 }
 
 extern "C" {
@@ -552,20 +563,24 @@
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("firlock-review-2-{pid}"));
         std::fs::create_dir_all(&folder).expect("temporary folder");
-        let net = 20 + pid % 200;
+        // Addresses of this run's own: two runs side by side don't meet.
+        let (net, third) = (20 + pid % 200, pid / 200 % 60 * 4);
         let zones = vec!["hall-a", "hall-b", "hall-c"];
         let mut machines = Vec::new();
         for i in 0..cores {
             let zone = zones[i % 3].to_owned();
-            machines.push(Machine { name: format!("core-{zone}-{i}"), zone, ip: format!("127.{net}.1.{}", 10 + i), core: true, child: None });
+            machines.push(Machine { name: format!("core-{zone}-{i}"), zone, ip: format!("127.{net}.{}.{}", third + 1, 10 + i), core: true, gone: false, child: None });
         }
         for i in 0..fronts {
             let zone = zones[i % 3].to_owned();
-            machines.push(Machine { name: format!("front-{zone}-{i}"), zone, ip: format!("127.{net}.2.{}", 10 + i), core: false, child: None });
+            machines.push(Machine { name: format!("front-{zone}-{i}"), zone, ip: format!("127.{net}.{}.{}", third + 2, 10 + i), core: false, gone: false, child: None });
         }
         let mut port = 21_000 + (pid % 500) as u16 * 20;
-        // Four free ports, alike on all machines.
-        let free = |p: u16, ms: &[Machine]| ms.iter().all(|m| TcpListener::bind((m.ip.as_str(), p)).is_ok());
+        // Free ports, alike on all machines.
+        let free = |p: u16, ms: &[Machine]| {
+            let worker = |i: u32| TcpListener::bind((format!("127.{net}.{}.{}", third + 3, 10 + i).as_str(), p)).is_ok();
+            ms.iter().all(|m| TcpListener::bind((m.ip.as_str(), p)).is_ok()) && (0..16).all(worker)
+        };
         let mut next = || {
             loop {
                 port += 1;
@@ -574,12 +589,12 @@
                 }
             }
         };
-        let (control_port, front_port, ready_port, internal_port) = (next(), next(), next(), next());
-        Platform { folder, net, control_port, front_port, ready_port, internal_port, machines, record: record.clone(), zones }
+        let (control_port, front_port, ready_port, internal_port, worker_port) = (next(), next(), next(), next(), next());
+        Platform { folder, net, third, worker_port, control_port, front_port, ready_port, internal_port, machines, record: record.clone(), zones, list: Arc::default(), leader: Arc::default() }
     }
 
     pub fn controls(&self) -> Vec<String> {
-        self.machines.iter().filter(|m| m.core).map(|m| format!("{}:{}", m.ip, self.control_port)).collect()
+        self.machines.iter().filter(|m| m.core && !m.gone).map(|m| format!("{}:{}", m.ip, self.control_port)).collect()
     }
 
     pub fn fronts(&self) -> Vec<String> {
@@ -589,7 +604,9 @@
     /// The settings that the template of the role gives (deploy/front.json, deploy/core.json).
     fn settings(&self, i: usize, bootstrap: bool) -> String {
         let m = &self.machines[i];
-        let seeds: Vec<String> = self.controls().iter().take(3).map(|s| quoted(s)).collect();
+        // The operator's list as it is now: machines that went away for good aren't on it.
+        let here = self.machines.iter().filter(|m| m.core && !m.gone);
+        let seeds: Vec<String> = here.take(3).map(|m| quoted(&format!("{}:{}", m.ip, self.control_port))).collect();
         let seeds = format!("[{}]", seeds.join(","));
         let zones: Vec<String> = self.zones.iter().map(|z| format!("\"{z}=midlands\"")).collect();
         let common = format!(
@@ -656,6 +673,24 @@
         }
     }
 
+    /// A core machine goes away for good, without SIGTERM; an empty one comes `after_ms` later in its zone, at another address.
+    pub fn replace_core(&mut self, i: usize, after_ms: u64) -> usize {
+        self.signal(i, SIGKILL);
+        self.machines[i].gone = true;
+        sleep(Duration::from_millis(after_ms));
+        let n = self.machines.len();
+        let zone = self.machines[i].zone.clone();
+        self.machines.push(Machine { name: format!("core-{zone}-{n}"), zone, ip: format!("127.{}.{}.{}", self.net, self.third + 1, 50 + n), core: true, gone: false, child: None });
+        self.launch(n, false);
+        // The settings of the fronts name the machines that are there now; they get no signal.
+        for f in (0..self.machines.len()).filter(|f| !self.machines[*f].core) {
+            let file = self.folder.join(format!("{}.json", self.machines[f].name));
+            std::fs::write(file, self.settings(f, false)).expect("settings");
+        }
+        *self.list.lock().unwrap() = self.controls();
+        n
+    }
+
     pub fn cores(&self) -> Vec<usize> {
         (0..self.machines.len()).filter(|i| self.machines[*i].core).collect()
     }
@@ -745,11 +780,12 @@
 pub static STOP: AtomicBool = AtomicBool::new(false);
 
 pub fn workers(p: &Platform, kinds: &[&str], cpu: u64, plan: Arc<dyn Fn(&str, &str, u64) -> (Option<u64>, String) + Send + Sync>) -> Vec<Arc<Worker>> {
+    *p.list.lock().unwrap() = p.controls();
     (0..kinds.len())
         .map(|i| {
             let w = Arc::new(Worker {
                 id: format!("i-{i:08x}"),
-                addr: format!("127.{}.3.{}:8080", p.net, 10 + i),
+                addr: format!("127.{}.{}.{}:{}", p.net, p.third + 3, 10 + i, p.worker_port),
                 zone: p.zones[i % 3].to_owned(),
                 service: "svc".into(),
                 kind: kinds[i].into(),
@@ -763,7 +799,7 @@
                 plan: plan.clone(),
             });
             w.start();
-            w.beat(p.controls(), 1_500);
+            w.beat(p.list.clone(), p.leader.clone(), 1_500);
             w
         })
         .collect()
